--- /dev/null
+++ b/citrondoor/__init__.py
@@ -0,0 +1,3 @@
+"""A query tier over many shards."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/citrondoor/codecs/__init__.py
@@ -0,0 +1,1 @@
+"""Encodings: JSON for callers and searchers, Thrift between daemons."""
--- /dev/null
+++ b/citrondoor/configuration/_store.py
@@ -0,0 +1,140 @@
+"""Accepts documents by revision; what is in force never goes back."""
+
+from citrondoor import declarations as declared
+from citrondoor import errors
+from citrondoor.schema import declarations
+
+
+class Offer:
+    """What an offer of documents changed.
+
+    Args:
+      accepted: Keys that came into force.
+      stale: Keys offered at a revision that is known already.
+      problems: Why documents wait; empty when none does.
+    """
+
+    __slots__ = ("accepted", "problems", "stale")
+
+    def __init__(
+        self,
+        accepted: list[str],
+        stale: list[str],
+        problems: list[declared.Problem],
+    ):
+        self.accepted = accepted
+        self.stale = stale
+        self.problems = problems
+
+
+class Store:
+    """Holds the documents in force and those that wait.
+
+    A document replaces another only at a higher revision of the platform. A
+    set that contradicts itself is not taken: its documents wait, newest first
+    kept, until a later document makes the whole agree.
+    """
+
+    __slots__ = ("_catalogue", "_in_force", "_revision", "_waiting")
+
+    def __init__(self):
+        self._in_force: dict[str, declarations.Document] = {}
+        self._waiting: dict[str, declarations.Document] = {}
+        self._revision = 0
+        self._catalogue = declared.Catalogue([])
+
+    @property
+    def revision(self) -> int:
+        """Highest revision that was offered, in force or waiting."""
+        return self._revision
+
+    @property
+    def catalogue(self) -> declared.Catalogue:
+        """Index of the documents in force."""
+        return self._catalogue
+
+    @property
+    def waiting_count(self) -> int:
+        """Documents that wait for the whole to agree."""
+        return len(self._waiting)
+
+    def changed_after(self, revision: int) -> list[declarations.Document]:
+        """Returns documents newer than a revision, in order of revision."""
+        newest = {**self._in_force, **self._waiting}
+        found = [d for d in newest.values() if d.revision > revision]
+        return sorted(found, key=lambda document: document.revision)
+
+    def offer(self, documents: list[declarations.Document]) -> Offer:
+        """Takes what is newer and agrees with the rest."""
+        stale = [d.key for d in documents if not self._is_newer(d)]
+        fresh = [d for d in documents if self._is_newer(d)]
+        if not fresh:
+            return Offer([], stale, [])
+        for document in fresh:
+            self._waiting[document.key] = document
+            self._revision = max(self._revision, document.revision)
+        return self._settle(stale)
+
+    def _is_newer(self, document: declarations.Document) -> bool:
+        known = self._waiting.get(document.key) or self._in_force.get(
+            document.key
+        )
+        return known is None or document.revision > known.revision
+
+    def _settle(self, stale: list[str]) -> Offer:
+        candidate = {**self._in_force, **self._waiting}
+        problems = declared.check(_bodies(candidate))
+        if not problems:
+            return self._adopt(candidate, list(self._waiting), stale, [])
+        # One bad document must not hold back the others: take each that fits.
+        candidate, accepted = self._take_fitting()
+        return self._adopt(candidate, accepted, stale, problems)
+
+    def _take_fitting(
+        self,
+    ) -> tuple[dict[str, declarations.Document], list[str]]:
+        candidate = dict(self._in_force)
+        accepted: list[str] = []
+        progressed = True
+        while progressed:
+            progressed = False
+            for document in self._waiting_by_revision():
+                if document.key in accepted:
+                    continue
+                trial = {**candidate, document.key: document}
+                if not declared.check(_bodies(trial)):
+                    candidate = trial
+                    accepted.append(document.key)
+                    progressed = True
+        return candidate, accepted
+
+    def _waiting_by_revision(self) -> list[declarations.Document]:
+        return sorted(
+            self._waiting.values(), key=lambda document: document.revision
+        )
+
+    def _adopt(
+        self,
+        candidate: dict[str, declarations.Document],
+        accepted: list[str],
+        stale: list[str],
+        problems: list[declared.Problem],
+    ) -> Offer:
+        for key in accepted:
+            old = self._in_force.get(key)
+            new = self._waiting.pop(key)
+            if old is not None and old.revision >= new.revision:
+                raise errors.InvariantError(
+                    f"{key} would go from revision {old.revision} back to"
+                    f" {new.revision}; report this as a fault of the daemon"
+                )
+        if accepted:
+            self._in_force = candidate
+            self._catalogue = declared.Catalogue(list(candidate.values()))
+        return Offer(accepted, stale, problems)
+
+
+def _bodies(
+    documents: dict[str, declarations.Document],
+) -> list[declarations.Document]:
+    return list(documents.values())
--- /dev/null
+++ b/citrondoor/counting/_quantity.py
@@ -0,0 +1,105 @@
+"""Keeps each customer within its monthly quantity, fleet-wide.
+
+Each VM may use its share of the quantity, plus what others gave it, less what
+it gave and used. Both only grow and stand on peers before an answer or a gift
+leaves, so a replaced VM learns what its predecessor used.
+"""
+
+from citrondoor.schema import messages
+
+# Least quantity worth a message, where the lender has it.
+MIN_GIFT = 1
+
+
+class QuantityTable:
+    """What every VM has used and given of every customer's quantity.
+
+    Args:
+      vm: Name of this VM.
+    """
+
+    __slots__ = ("_uses", "_vm")
+
+    def __init__(self, vm: str):
+        self._vm = vm
+        self._uses: dict[tuple[str, str], dict[str, messages.QuantityUse]] = {}
+
+    def own_use(self, customer: str, month: str) -> messages.QuantityUse:
+        """Returns what this VM has used and given."""
+        return self._use(customer, month, self._vm)
+
+    def snapshot_use(self, customer: str, month: str) -> messages.QuantityUse:
+        """Returns a copy of what this VM has used and given."""
+        use = self.own_use(customer, month)
+        return messages.QuantityUse(
+            customer, month, self._vm, use.used, dict(use.given)
+        )
+
+    def left(
+        self, customer: str, month: str, quantity: int, homes: list[str]
+    ) -> int:
+        """Returns how much this VM may still use.
+
+        Args:
+          customer: Name of the customer.
+          month: UTC month, `YYYY-MM`.
+          quantity: Monthly quantity of the contract.
+          homes: VMs that hold equal shares of it.
+        """
+        use = self.own_use(customer, month)
+        received = sum(
+            other.given.get(self._vm, 0)
+            for other in self._uses[(customer, month)].values()
+        )
+        share = self._share(quantity, homes)
+        return share + received - use.used - sum(use.given.values())
+
+    def take(self, customer: str, month: str) -> None:
+        """Notes that this VM used one."""
+        self.own_use(customer, month).used += 1
+
+    def give_back(self, customer: str, month: str) -> None:
+        """Takes one use back that was never spread to a peer."""
+        self.own_use(customer, month).used -= 1
+
+    def give(
+        self,
+        request: messages.QuantityRequest,
+        quantity: int,
+        homes: list[str],
+    ) -> int:
+        """Gives up to half of what is left; returns how much.
+
+        The use must stand on peers before the gift is told to the borrower.
+        """
+        left = self.left(request.customer, request.month, quantity, homes)
+        gift = min(request.wanted, (left + 1) // 2)
+        if gift < MIN_GIFT:
+            return 0
+        given = self.own_use(request.customer, request.month).given
+        given[request.borrower] = given.get(request.borrower, 0) + gift
+        return gift
+
+    def merge(self, uses: list[messages.QuantityUse]) -> None:
+        """Takes uses that other daemons know of; each only grows."""
+        for other in uses:
+            known = self._use(other.customer, other.month, other.vm)
+            known.used = max(known.used, other.used)
+            for borrower, given in other.given.items():
+                known.given[borrower] = max(known.given.get(borrower, 0), given)
+
+    def all_uses(self) -> list[messages.QuantityUse]:
+        """Returns what is known of every VM."""
+        return [use for by_vm in self._uses.values() for use in by_vm.values()]
+
+    def _use(self, customer: str, month: str, vm: str) -> messages.QuantityUse:
+        by_vm = self._uses.setdefault((customer, month), {})
+        if vm not in by_vm:
+            by_vm[vm] = messages.QuantityUse(customer, month, vm, 0, {})
+        return by_vm[vm]
+
+    def _share(self, quantity: int, homes: list[str]) -> int:
+        if self._vm not in homes:
+            return 0
+        each, rest = divmod(quantity, len(homes))
+        return each + (1 if homes.index(self._vm) < rest else 0)
--- /dev/null
+++ b/citrondoor/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: one process on each entry VM."""
--- /dev/null
+++ b/citrondoor/daemon/_assembly.py
@@ -0,0 +1,382 @@
+"""Builds the parts of a daemon and runs them."""
+
+import asyncio
+import random
+import signal
+
+import structlog
+
+from citrondoor import clock as clocks
+from citrondoor import configuration
+from citrondoor import counting
+from citrondoor import declarations as declared
+from citrondoor import engine
+from citrondoor import errors
+from citrondoor import front
+from citrondoor import limits
+from citrondoor import links
+from citrondoor import membership
+from citrondoor import runs
+from citrondoor import telemetry
+from citrondoor import timeline
+from citrondoor.daemon import _counters
+from citrondoor.daemon import _lifecycle
+from citrondoor.schema import messages
+from citrondoor.schema import settings as schema_settings
+
+TICK_MS = 100
+JOIN_POLL_MS = 50
+# A daemon that hears of no peer in this time takes itself for the first one.
+LONELY_MS = 2000
+# A peer that is this much older makes the fleet one that serves already.
+FLEET_AGE_MS = 5000
+
+
+class Daemon:
+    """All parts of one daemon.
+
+    Args:
+      settings: Checked settings.
+      clock: Clock of the daemon.
+      source: Random source.
+      connector: Opens connections to peers; tests cut links here.
+    """
+
+    __slots__ = (
+        "_admission",
+        "_clock",
+        "_configuration",
+        "_counts",
+        "_front",
+        "_incarnation",
+        "_is_joined",
+        "_leases",
+        "_lifecycle",
+        "_log",
+        "_new_searchers",
+        "_peering",
+        "_platform",
+        "_pool",
+        "_quantities",
+        "_rates",
+        "_recorder",
+        "_run_engine",
+        "_search_engine",
+        "_service",
+        "_settings",
+        "_source",
+        "_started_at",
+        "_stop_signals",
+        "_stopping",
+        "_tasks",
+        "_view",
+        "_warmth",
+        "_warmth_keeper",
+    )
+
+    def __init__(
+        self,
+        settings: schema_settings.DaemonSettings,
+        clock: clocks.Clock,
+        source: random.Random,
+        connector=asyncio.open_connection,
+    ):
+        self._settings = settings
+        self._clock = clock
+        self._source = source
+        self._log = structlog.get_logger(vm=settings.vm)
+        self._incarnation = clock.wall()
+        self._started_at = clock.now()
+        self._is_joined = False
+        self._new_searchers: list[str] = []
+        self._tasks: list[asyncio.Task] = []
+        self._stopping = asyncio.Event()
+        self._stop_signals = 0
+        self._build_view()
+        self._build_peering(connector)
+        self._build_limits()
+        self._build_engines()
+        self._build_front()
+
+    async def run(self) -> None:
+        """Joins, serves until a signal, and leaves."""
+        self._handle_signals()
+        self._lifecycle.join()
+        settings = self._settings
+        await self._peering.start(settings.address, settings.peer_port)
+        await self._front.start()
+        self._start_task(self._configuration.run())
+        self._start_task(self._tick_forever())
+        await self._join()
+        if not self._stopping.is_set():
+            self._start_task(self._leases.run())
+            self._start_task(self._warmth_keeper.run())
+            self._start_task(self._counts.run())
+            self._admission.is_closed = False
+            self._lifecycle.serve()
+            await self._stopping.wait()
+        await self._leave()
+
+    def _build_view(self) -> None:
+        settings = self._settings
+        self._recorder = timeline.Recorder(
+            settings.vm, self._incarnation, self._clock, self._log_event
+        )
+        record = self._recorder.record
+        self._lifecycle = _lifecycle.Lifecycle(record)
+        members = membership.Members(
+            settings.vm, self._incarnation, settings.peers, record
+        )
+        freshness = membership.Freshness(
+            settings.pause_ms, settings.confirm_timeout_ms, record
+        )
+        self._view = engine.View(
+            settings.vm,
+            settings.zone,
+            self._clock,
+            members,
+            freshness,
+            self._recorder,
+        )
+        self._warmth = limits.Warmth(settings.vm)
+
+    def _build_peering(self, connector) -> None:
+        settings = self._settings
+        link_settings = links.PeerSettings(
+            settings.vm,
+            self._incarnation,
+            bytes.fromhex(settings.peers.key),
+            settings.peers.max_frame_bytes,
+            settings.peers.request_timeout_ms,
+        )
+        self._peering = engine.Peering(
+            self._view,
+            self._warmth,
+            settings.peers,
+            link_settings,
+            connector,
+            settings.seeds,
+        )
+        self._platform = links.PlatformClient(settings.platform)
+        self._configuration = engine.ConfigurationKeeper(
+            self._view,
+            configuration.Store(),
+            self._platform,
+            self._peering,
+            settings.platform,
+        )
+        self._view.subscribe(self._on_catalogue)
+
+    def _build_limits(self) -> None:
+        self._rates = limits.RateTable(
+            self._settings.vm,
+            self._started_at,
+            self._view.members.known_revision,
+        )
+        self._leases = engine.LeaseKeeper(
+            self._view, self._peering, self._rates
+        )
+        table = counting.QuantityTable(self._settings.vm)
+        self._counts = engine.CountKeeper(
+            self._view,
+            self._peering,
+            counting.Ledger(),
+            table,
+            self._source,
+        )
+        self._quantities = engine.QuantityKeeper(
+            self._view, self._peering, table, self._counts
+        )
+        self._admission = engine.Admission(
+            self._view,
+            self._rates,
+            self._leases,
+            self._quantities,
+            self._settings.callers.max_concurrent,
+        )
+        self._admission.is_closed = True
+
+    def _build_engines(self) -> None:
+        settings = self._settings
+        self._pool = links.UpstreamPool(
+            settings.vm, settings.upstreams, self._warmth, self._clock
+        )
+        self._warmth_keeper = engine.WarmthKeeper(
+            self._view, self._peering, self._warmth
+        )
+        self._search_engine = engine.SearchEngine(
+            self._view, self._pool, settings.upstreams, self._source
+        )
+        self._run_engine = engine.RunEngine(
+            self._view,
+            self._peering,
+            self._search_engine,
+            self._admission,
+            self._counts,
+            runs.Arbiter(),
+            self._incarnation,
+        )
+        self._service = engine.Service(
+            self._view,
+            self._admission,
+            self._search_engine,
+            self._run_engine,
+            self._counts,
+            runs.SessionIssuer(settings.vm, self._incarnation),
+            self._source,
+        )
+
+    def _build_front(self) -> None:
+        settings = self._settings
+        metrics = telemetry.Metrics(settings.vm, settings.zone)
+        counters = _counters.collect(
+            self._search_engine,
+            self._run_engine,
+            self._counts,
+            self._peering,
+            self._pool,
+            self._platform,
+            self._configuration,
+            self._warmth,
+            self._admission,
+        )
+        for counter in counters:
+            add = metrics.add_gauge if counter.is_gauge else metrics.add_counter
+            add(f"citrondoor.{counter.name}", counter.description, counter.read)
+        status = front.StatusSource(
+            self._view,
+            self._pool,
+            self._incarnation,
+            lambda: self._lifecycle.state,
+            lambda: self._configuration.store.revision,
+            {counter.name: counter.read for counter in counters},
+        )
+        parts = front.Front(
+            self._service,
+            status,
+            metrics,
+            self._clock,
+            settings.callers,
+            settings.operator_key_digest,
+        )
+        self._front = front.FrontServer(
+            front.make_app(parts),
+            settings.address,
+            settings.http_port,
+            settings.callers,
+        )
+
+    def _on_catalogue(self, catalogue: declared.Catalogue) -> None:
+        now = self._clock.now()
+        self._peering.set_catalogue(catalogue)
+        self._rates.set_catalogue(catalogue, now)
+        new_searchers = self._pool.set_catalogue(catalogue)
+        self._search_engine.set_catalogue(catalogue)
+        if self._is_joined:
+            self._note_cold(new_searchers)
+        else:
+            self._new_searchers += new_searchers
+
+    def _note_cold(self, searchers: list[str]) -> None:
+        for name in searchers:
+            self._warmth.note_cold(name, self._clock.wall(), self._clock.now())
+        if searchers:
+            self._recorder.record(
+                "searchers_cold", f"{len(searchers)} came into service"
+            )
+
+    async def _join(self) -> None:
+        """Waits for configuration, peers, counts, and old leases to end."""
+        while not self._has_view() and not self._stopping.is_set():
+            await asyncio.sleep(JOIN_POLL_MS / clocks.MS_PER_S)
+        if not self._is_fleet_serving():
+            # Nobody can say which searchers are warm.
+            self._note_cold(self._new_searchers)
+        self._is_joined = True
+        await self._counts.recover()
+        self._quantities.is_recovered = True
+        hold_until = self._started_at + limits.START_HOLD_MS
+        while self._clock.now() < hold_until and not self._stopping.is_set():
+            await asyncio.sleep(JOIN_POLL_MS / clocks.MS_PER_S)
+
+    def _has_view(self) -> bool:
+        if self._settings.vm not in self._view.catalogue.vms:
+            return False
+        others = set(self._view.catalogue.vms) - {self._settings.vm}
+        heard = {member.vm for member in self._view.members.table}
+        is_alone = self._clock.now() - self._started_at > LONELY_MS
+        return others <= heard or is_alone
+
+    def _is_fleet_serving(self) -> bool:
+        oldest = min(
+            member.incarnation
+            for member in self._view.members.table
+            if member.state != messages.MemberState.DEAD
+        )
+        return oldest < self._incarnation - FLEET_AGE_MS
+
+    async def _tick_forever(self) -> None:
+        while True:
+            now = self._clock.now()
+            self._view.freshness.check(now)
+            self._peering.tick(now)
+            self._pool.sweep(now)
+            if self._view.members.is_superseded:
+                raise errors.InvariantError(
+                    f"a later incarnation of {self._settings.vm!r} serves;"
+                    " give each VM a name of its own"
+                )
+            await asyncio.sleep(TICK_MS / clocks.MS_PER_S)
+
+    async def _leave(self) -> None:
+        """Leaves the entries first, then the callers, then the peers."""
+        self._lifecycle.leave()
+        self._view.members.set_leaving()
+        # Callers may use an answer of /v1/entries until it expires.
+        ttl_ms = self._settings.callers.entries_ttl_ms
+        await self._wait_or_second_signal(ttl_ms)
+        self._admission.is_closed = True
+        await self._wait_for_requests()
+        await self._run_engine.finish_running()
+        await self._counts.hand_over()
+        await self._front.close()
+        for task in self._tasks:
+            task.cancel()
+        self._pool.close()
+        await self._peering.close()
+        await self._platform.close()
+        self._lifecycle.stop()
+
+    async def _wait_or_second_signal(self, ms: int) -> None:
+        until = self._clock.now() + ms
+        while self._clock.now() < until and self._stop_signals < 2:
+            await asyncio.sleep(JOIN_POLL_MS / clocks.MS_PER_S)
+
+    async def _wait_for_requests(self) -> None:
+        while self._admission.in_flight:
+            await asyncio.sleep(JOIN_POLL_MS / clocks.MS_PER_S)
+
+    def _handle_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._on_signal)
+
+    def _on_signal(self) -> None:
+        self._stop_signals += 1
+        self._stopping.set()
+
+    def _start_task(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._on_task_end)
+        self._tasks.append(task)
+
+    def _on_task_end(self, task: asyncio.Task) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        # A daemon without one of its parts would break promises quietly.
+        self._log.error("part_failed", error=str(task.exception()))
+        self._recorder.record("part_failed", str(task.exception()))
+        self._stopping.set()
+
+    def _log_event(self, event: messages.Event) -> None:
+        self._log.info(event.kind, detail=event.detail)
--- /dev/null
+++ b/citrondoor/daemon/_counters.py
@@ -0,0 +1,160 @@
+"""The counters that a daemon shows in its metrics and its status."""
+
+from collections.abc import Callable
+
+from citrondoor import engine
+from citrondoor import limits
+from citrondoor import links
+
+
+class Counter:
+    """One number to show.
+
+    Args:
+      name: Name below `citrondoor.`, in the form of OpenTelemetry.
+      description: What it counts.
+      read: Returns its value.
+      is_gauge: Whether it can fall.
+    """
+
+    __slots__ = ("description", "is_gauge", "name", "read")
+
+    def __init__(
+        self,
+        name: str,
+        description: str,
+        read: Callable[[], float],
+        is_gauge: bool = False,
+    ):
+        self.name = name
+        self.description = description
+        self.read = read
+        self.is_gauge = is_gauge
+
+
+def collect(
+    search_engine: engine.SearchEngine,
+    run_engine: engine.RunEngine,
+    counts: engine.CountKeeper,
+    peering: engine.Peering,
+    pool: links.UpstreamPool,
+    platform: links.PlatformClient,
+    keeper: engine.ConfigurationKeeper,
+    warmth: limits.Warmth,
+    admission: engine.Admission,
+) -> list[Counter]:
+    """Returns all counters of a daemon."""
+    queries = search_engine.counters
+    upstream = pool.counters
+    runs = run_engine.counters
+    return [
+        Counter("queries", "Queries started.", lambda: queries.queries),
+        Counter(
+            "sub_requests",
+            "Sub-requests sent, hedges included.",
+            lambda: queries.sub_requests,
+        ),
+        Counter("hedges", "Hedged sub-requests.", lambda: queries.hedges),
+        Counter(
+            "late_answers",
+            "Sub-answers that came too late.",
+            lambda: queries.dropped,
+        ),
+        Counter(
+            "foreign_answers",
+            "Responses that matched no request.",
+            lambda: upstream.foreign,
+        ),
+        Counter(
+            "upstream.connects",
+            "Connections opened to searchers.",
+            lambda: upstream.connects,
+        ),
+        Counter(
+            "upstream.sheds",
+            "Sub-requests shed, here or by searchers.",
+            lambda: upstream.sheds,
+        ),
+        Counter(
+            "upstream.failures",
+            "Sub-requests that failed.",
+            lambda: upstream.failures,
+        ),
+        Counter(
+            "upstream.cancels", "Cancellations sent.", lambda: upstream.cancels
+        ),
+        Counter(
+            "upstream.cold",
+            "Searchers that are cold.",
+            lambda: warmth.cold_count,
+            is_gauge=True,
+        ),
+        Counter(
+            "runs.started",
+            "Non-idempotent requests sent to searchers.",
+            lambda: runs.started,
+        ),
+        Counter(
+            "runs.repeated",
+            "Repeated ids that got the stored result.",
+            lambda: runs.repeated,
+        ),
+        Counter(
+            "runs.unknown",
+            "Non-idempotent requests of unknown outcome.",
+            lambda: runs.unknown,
+        ),
+        Counter(
+            "counts.stored",
+            "Counts stored in other zones.",
+            lambda: counts.stored_count,
+        ),
+        Counter(
+            "counts.unstored",
+            "Counts that no other zone could store.",
+            lambda: counts.unstored_count,
+        ),
+        Counter(
+            "counts.repeated",
+            "Requests whose id was counted before.",
+            lambda: counts.repeated_count,
+        ),
+        Counter(
+            "counts.ranges",
+            "Ranges of numbers in the ledger.",
+            lambda: counts.ledger.range_count,
+            is_gauge=True,
+        ),
+        Counter(
+            "peers.bytes",
+            "Bytes sent and received on peer links.",
+            lambda: peering.byte_count,
+        ),
+        Counter(
+            "peers.garbage",
+            "Peer connections that broke the protocol.",
+            lambda: peering.garbage_count,
+        ),
+        Counter(
+            "platform.reads",
+            "Calls of the platform.",
+            lambda: platform.read_count,
+        ),
+        Counter(
+            "configuration.rejected",
+            "Documents that were not taken.",
+            lambda: keeper.rejected_count,
+        ),
+        Counter(
+            "configuration.waiting",
+            "Documents that wait for the whole to agree.",
+            lambda: keeper.store.waiting_count,
+            is_gauge=True,
+        ),
+        Counter(
+            "requests.in_flight",
+            "Requests being served.",
+            lambda: admission.in_flight,
+            is_gauge=True,
+        ),
+    ]
--- /dev/null
+++ b/citrondoor/daemon/_settings.py
@@ -0,0 +1,49 @@
+"""Reads and checks the settings of a daemon."""
+
+import pathlib
+import re
+
+from citrondoor import documents
+from citrondoor import errors
+from citrondoor.schema import settings as schema_settings
+
+_KEY_PATTERN = re.compile(r"([0-9a-f]{2}){16,}")
+_DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
+_SEED_PATTERN = re.compile(r"[0-9.]+:[0-9]{1,5}")
+
+
+def read_settings(path: pathlib.Path) -> schema_settings.DaemonSettings:
+    """Returns the settings of a file.
+
+    Raises:
+      errors.DocumentError: The file is missing or breaks the schema.
+    """
+    settings = documents.read_file(schema_settings.DaemonSettings, path)
+    if not _KEY_PATTERN.fullmatch(settings.peers.key):
+        raise errors.DocumentError(
+            str(path),
+            1,
+            f"peers.key has {len(settings.peers.key)} characters or is not"
+            " hexadecimal",
+            "use at least 32 hexadecimal digits, lower case",
+        )
+    if not _DIGEST_PATTERN.fullmatch(settings.operator_key_digest):
+        raise errors.DocumentError(
+            str(path),
+            1,
+            "operator_key_digest is no SHA-256",
+            "use 64 hexadecimal digits, lower case",
+        )
+    for seed in settings.seeds:
+        if not _SEED_PATTERN.fullmatch(seed):
+            raise errors.DocumentError(
+                str(path), 1, f"the seed is {seed!r}", "use IP:PORT"
+            )
+    if settings.peers.dead_ms <= settings.peers.suspect_ms:
+        raise errors.DocumentError(
+            str(path),
+            1,
+            f"peers.dead_ms is {settings.peers.dead_ms}",
+            f"use more than suspect_ms, {settings.peers.suspect_ms}",
+        )
+    return settings
--- /dev/null
+++ b/citrondoor/declarations/_catalogue.py
@@ -0,0 +1,133 @@
+"""An immutable index over one accepted set of documents."""
+
+from citrondoor.schema import declarations
+
+
+class ReplicaGroup:
+    """Shards of one snapshot that stand on the same searchers.
+
+    Args:
+      shards: The shards.
+      replicas: Names of the searchers that hold all of them.
+    """
+
+    __slots__ = ("records", "replicas", "shards")
+
+    def __init__(
+        self, shards: list[declarations.Shard], replicas: tuple[str, ...]
+    ):
+        self.shards = shards
+        self.replicas = replicas
+        self.records = sum(shard.records for shard in shards)
+
+
+class SnapshotIndex:
+    """One snapshot, its shards grouped by where they stand.
+
+    Args:
+      snapshot: The declared snapshot.
+    """
+
+    __slots__ = ("groups", "name", "records", "shard_names")
+
+    def __init__(self, snapshot: declarations.Snapshot):
+        self.name = snapshot.name
+        self.shard_names = frozenset(shard.name for shard in snapshot.shards)
+        self.records = sum(shard.records for shard in snapshot.shards)
+        self.groups = group_shards(snapshot.shards)
+
+
+def group_shards(shards: list[declarations.Shard]) -> list[ReplicaGroup]:
+    """Returns the shards grouped by their set of replicas."""
+    by_replicas: dict[tuple[str, ...], list[declarations.Shard]] = {}
+    for shard in shards:
+        place = tuple(sorted(shard.replicas))
+        by_replicas.setdefault(place, []).append(shard)
+    return [
+        ReplicaGroup(members, place) for place, members in by_replicas.items()
+    ]
+
+
+class Catalogue:
+    """Looks up zones, VMs, back ends, snapshots and contracts.
+
+    Args:
+      documents: A whole set of documents that agree with each other.
+    """
+
+    __slots__ = (
+        "backends",
+        "contract_revisions",
+        "contracts",
+        "contracts_by_digest",
+        "documents",
+        "revision",
+        "searchers",
+        "snapshots",
+        "vms",
+        "vms_revision",
+        "zones",
+    )
+
+    def __init__(self, documents: list[declarations.Document]):
+        self.documents = documents
+        self.revision = max((d.revision for d in documents), default=0)
+        self.zones: dict[str, declarations.Zone] = {}
+        self.vms: dict[str, declarations.Vm] = {}
+        self.vms_revision = 0
+        self.backends: dict[str, declarations.Backend] = {}
+        self.searchers: dict[str, declarations.Searcher] = {}
+        self.snapshots: dict[str, list[SnapshotIndex]] = {}
+        self.contracts: dict[str, declarations.Contract] = {}
+        self.contract_revisions: dict[str, int] = {}
+        self.contracts_by_digest: dict[str, declarations.Contract] = {}
+        for document in documents:
+            self._index(document)
+
+    def is_zone_in(self, name: str) -> bool:
+        """Returns whether a zone is declared and in service."""
+        zone = self.zones.get(name)
+        return zone is not None and zone.state == declarations.ZoneState.IN
+
+    def is_vm_in(self, name: str) -> bool:
+        """Returns whether an entry VM and its zone are in service."""
+        vm = self.vms.get(name)
+        if vm is None or vm.state != declarations.VmState.IN:
+            return False
+        return self.is_zone_in(vm.zone)
+
+    def is_searcher_in(self, name: str) -> bool:
+        """Returns whether a searcher may receive new work."""
+        searcher = self.searchers.get(name)
+        if searcher is None or searcher.state != declarations.VmState.IN:
+            return False
+        return self.is_zone_in(searcher.zone)
+
+    def _index(self, document: declarations.Document) -> None:
+        if document.zones:
+            self.zones = {zone.name: zone for zone in document.zones.zones}
+        if document.vms:
+            self.vms = {vm.name: vm for vm in document.vms.vms}
+            self.vms_revision = document.revision
+        if document.backend:
+            self._index_backend(document.backend)
+        if document.snapshots:
+            self.snapshots[document.snapshots.backend] = [
+                SnapshotIndex(s) for s in document.snapshots.snapshots
+            ]
+        if document.contracts:
+            for contract in document.contracts.contracts:
+                self._index_contract(contract, document.revision)
+
+    def _index_backend(self, backend: declarations.Backend) -> None:
+        self.backends[backend.name] = backend
+        for searcher in backend.searchers:
+            self.searchers[searcher.name] = searcher
+
+    def _index_contract(
+        self, contract: declarations.Contract, revision: int
+    ) -> None:
+        self.contracts[contract.customer] = contract
+        self.contract_revisions[contract.customer] = revision
+        for digest in contract.key_digests:
+            self.contracts_by_digest[digest] = contract
--- /dev/null
+++ b/citrondoor/engine/_peering.py
@@ -0,0 +1,283 @@
+"""Links to all peers, heartbeats, and the registry of peers' questions."""
+
+import asyncio
+import functools
+from collections.abc import Callable
+
+from citrondoor import clock as clocks
+from citrondoor import declarations as declared
+from citrondoor import errors
+from citrondoor import limits
+from citrondoor import links
+from citrondoor.engine import _bodies
+from citrondoor.engine import _view
+from citrondoor.schema import messages
+from citrondoor.schema import settings as schema_settings
+
+# Searchers that warmed up longer ago than this are not mentioned any more.
+LEVEL_MEMORY_MS = 60_000
+
+
+async def _refuse_unknown(message, sender: str):
+    raise errors.FrameError(
+        f"{sender!r} asked {type(message).__name__}, which nobody answers; run"
+        " compatible versions"
+    )
+
+
+class Peering:
+    """Keeps the links up and exchanges heartbeats.
+
+    Args:
+      view: What this daemon knows.
+      warmth: Levels of cold searchers, spread with heartbeats.
+      settings: Timing.
+      link_settings: What every link needs.
+      connector: Opens connections.
+      seeds: Places to ask before the first configuration is known.
+    """
+
+    __slots__ = (
+        "_connector",
+        "_link_settings",
+        "_links",
+        "_on_revision",
+        "_platform_read_at",
+        "_registry",
+        "_revision_of",
+        "_seeds",
+        "_settings",
+        "_tasks",
+        "_view",
+        "_warmth",
+        "garbage_count",
+        "server",
+    )
+
+    def __init__(
+        self,
+        view: _view.View,
+        warmth: limits.Warmth,
+        settings: schema_settings.PeerSettings,
+        link_settings: links.PeerSettings,
+        connector,
+        seeds: list[str],
+    ):
+        self._view = view
+        self._warmth = warmth
+        self._settings = settings
+        self._link_settings = link_settings
+        self._connector = connector
+        self._seeds = seeds
+        self._links: dict[str, links.PeerLink] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+        self._registry = functools.singledispatch(_refuse_unknown)
+        self._registry.register(messages.Heartbeat, self._on_heartbeat)
+        self._registry.register(messages.EventsRequest, self._on_events)
+        self._on_revision: Callable[[links.PeerLink, int], None] | None = None
+        self._revision_of: Callable[[], int] = int
+        self._platform_read_at: int | None = None
+        self.garbage_count = 0
+        self.server = links.PeerServer(
+            link_settings, self._answer, self._on_garbage
+        )
+
+    @property
+    def reachable(self) -> list[str]:
+        """Names of peers whose link is up."""
+        return [n for n, link in self._links.items() if link.is_up]
+
+    @property
+    def byte_count(self) -> int:
+        """Bytes sent and received on all links."""
+        dialed = sum(
+            link.bytes_sent + link.bytes_received
+            for link in self._links.values()
+        )
+        return dialed + self.server.bytes_sent + self.server.bytes_received
+
+    def register(self, kind: type, handler) -> None:
+        """Answers questions of one kind with an async function.
+
+        The function takes the message and the sender's name.
+        """
+        self._registry.register(kind, handler)
+
+    def watch_revisions(
+        self,
+        revision_of: Callable[[], int],
+        on_revision: Callable[[links.PeerLink, int], None],
+    ) -> None:
+        """Tells of each peer's configuration revision.
+
+        Args:
+          revision_of: Returns this daemon's revision.
+          on_revision: Called with the link and the peer's revision.
+        """
+        self._revision_of = revision_of
+        self._on_revision = on_revision
+
+    def link_to(self, vm: str) -> links.PeerLink | None:
+        """Returns the link to a peer, if it is up."""
+        link = self._links.get(vm)
+        return link if link is not None and link.is_up else None
+
+    def up_links(self) -> list[links.PeerLink]:
+        """Returns the links that are up, seeds included."""
+        return [link for link in self._links.values() if link.is_up]
+
+    async def ask(self, vm: str, message, timeout_ms: int = 0):
+        """Returns a peer's reply to a message.
+
+        Raises:
+          errors.PeerUnreachableError: The peer does not reply.
+          errors.PeerRefusedError: The peer refused the question.
+        """
+        link = self._links.get(vm)
+        if link is None:
+            raise errors.PeerUnreachableError(
+                f"{vm!r} is no declared VM; check `vms`"
+            )
+        reply = await link.ask(_bodies.wrap(message), timeout_ms)
+        return _bodies.unwrap(reply)
+
+    async def start(self, address: str, port: int) -> None:
+        """Listens for peers and dials the seeds."""
+        await self.server.start(address, port)
+        for seed in self._seeds:
+            host, _, seed_port = seed.rpartition(":")
+            self._open(f"seed/{seed}", "", host, int(seed_port))
+
+    async def close(self) -> None:
+        """Ends all links."""
+        for task in self._tasks.values():
+            task.cancel()
+        for link in self._links.values():
+            link.close()
+        await self.server.close()
+
+    def set_catalogue(self, catalogue: declared.Catalogue) -> None:
+        """Takes the VMs in force: opens and closes links."""
+        now = self._view.clock.now()
+        members = self._view.members
+        members.set_declared(list(catalogue.vms), catalogue.vms_revision, now)
+        if catalogue.vms:
+            for name in [n for n in self._links if n.startswith("seed/")]:
+                self._drop(name)
+        for vm in catalogue.vms.values():
+            if vm.name == self._view.vm:
+                continue
+            link = self._links.get(vm.name)
+            if link is not None and link.place == (vm.address, vm.peer_port):
+                continue
+            if link is not None:
+                self._drop(vm.name)
+            self._open(vm.name, vm.name, vm.address, vm.peer_port)
+        for name in list(self._links):
+            if name not in catalogue.vms and not name.startswith("seed/"):
+                self._drop(name)
+
+    def note_platform_read(self, now: int) -> None:
+        """Notes that this daemon has read the platform."""
+        self._platform_read_at = now
+
+    def platform_age_ms(self, now: int) -> int:
+        """Returns the age of the newest reading known in the fleet."""
+        if self._platform_read_at is None:
+            return 1 << 40
+        return now - self._platform_read_at
+
+    def tick(self, now: int) -> None:
+        """Moves suspicions on and takes who is alive."""
+        self._view.members.tick(now)
+        self._warmth.set_members(self._view.members.live(), now)
+        self._warmth.forget_before(self._view.clock.wall() - LEVEL_MEMORY_MS)
+
+    async def beat(self, link: links.PeerLink) -> None:
+        """Exchanges one heartbeat.
+
+        Raises:
+          errors.PeerUnreachableError: The peer does not reply.
+        """
+        asked_at = self._view.clock.now()
+        members = self._view.members
+        heartbeat = messages.Heartbeat(
+            sender=members.sender(),
+            news=members.take_news(),
+            platform_age_ms=self.platform_age_ms(asked_at),
+            levels=self._warmth.levels(),
+            joining=len(members.table) == 1,
+            config_revision=self._revision_of(),
+        )
+        body = await link.ask(_bodies.wrap(heartbeat))
+        ack = _bodies.unwrap(body)
+        now = self._view.clock.now()
+        members.on_heard(ack.sender, ack.news, now)
+        self._warmth.merge(ack.levels, now)
+        self._take_platform_age(ack.platform_age_ms, now)
+        if ack.config_revision <= self._revision_of():
+            self._view.freshness.confirm(asked_at, now)
+        self._on_revision(link, ack.config_revision)
+
+    def _open(self, key: str, name: str, address: str, port: int) -> None:
+        link = links.PeerLink(
+            name,
+            address,
+            port,
+            self._link_settings,
+            self._connector,
+            self._view.recorder.record,
+        )
+        self._links[key] = link
+        link.start()
+        self._tasks[key] = asyncio.create_task(self._beat_forever(key, link))
+
+    def _drop(self, key: str) -> None:
+        self._tasks.pop(key).cancel()
+        self._links.pop(key).close()
+
+    async def _beat_forever(self, key: str, link: links.PeerLink) -> None:
+        interval_s = self._settings.heartbeat_ms / clocks.MS_PER_S
+        while True:
+            is_neighbour = key in self._view.members.neighbours
+            if link.is_up and (is_neighbour or key.startswith("seed/")):
+                try:
+                    await self.beat(link)
+                except errors.CitrondoorError:
+                    # Silence is what suspicion counts; nothing to do here.
+                    pass
+            await asyncio.sleep(interval_s)
+
+    async def _answer(self, sender: str, body: messages.Body) -> messages.Body:
+        message = _bodies.unwrap(body)
+        return _bodies.wrap(await self._registry(message, sender))
+
+    async def _on_heartbeat(
+        self, heartbeat: messages.Heartbeat, sender: str
+    ) -> messages.HeartbeatAck:
+        now = self._view.clock.now()
+        members = self._view.members
+        members.on_heard(heartbeat.sender, heartbeat.news, now)
+        self._warmth.merge(heartbeat.levels, now)
+        self._take_platform_age(heartbeat.platform_age_ms, now)
+        news = members.table if heartbeat.joining else members.take_news()
+        return messages.HeartbeatAck(
+            sender=members.sender(),
+            news=news,
+            platform_age_ms=self.platform_age_ms(now),
+            levels=self._warmth.levels(),
+            config_revision=self._revision_of(),
+        )
+
+    async def _on_events(
+        self, request: messages.EventsRequest, sender: str
+    ) -> messages.Events:
+        return messages.Events(self._view.recorder.after(request.after_wall_ms))
+
+    def _take_platform_age(self, age_ms: int, now: int) -> None:
+        read_at = now - age_ms
+        if self._platform_read_at is None or read_at > self._platform_read_at:
+            self._platform_read_at = read_at
+
+    def _on_garbage(self) -> None:
+        self.garbage_count += 1
--- /dev/null
+++ b/citrondoor/engine/_quantities.py
@@ -0,0 +1,110 @@
+"""Takes monthly quantity, and asks other homes for what they have left."""
+
+from citrondoor import counting
+from citrondoor import errors
+from citrondoor import limits
+from citrondoor.engine import _counting
+from citrondoor.engine import _peering
+from citrondoor.engine import _view
+from citrondoor.schema import declarations
+from citrondoor.schema import messages
+
+# Asked for at once, so that few requests have to wait for a gift.
+ASK_SHARE = 0.1
+MIN_ASK = 16
+
+
+class QuantityKeeper:
+    """Admits requests within the monthly quantity of a contract.
+
+    Args:
+      view: What this daemon knows.
+      peering: Links to peers.
+      table: Use of every VM.
+      counts: Stores this VM's use on peers.
+    """
+
+    __slots__ = ("_counts", "_peering", "_table", "_view", "is_recovered")
+
+    def __init__(
+        self,
+        view: _view.View,
+        peering: _peering.Peering,
+        table: counting.QuantityTable,
+        counts: _counting.CountKeeper,
+    ):
+        self._view = view
+        self._peering = peering
+        self._table = table
+        self._counts = counts
+        # Until peers have told what a predecessor used, nothing is left here.
+        self.is_recovered = False
+        peering.register(messages.QuantityRequest, self._on_request)
+
+    async def take(self, contract: declarations.Contract, month: str) -> bool:
+        """Takes one of the quantity; returns False when none is left."""
+        if contract.monthly_quantity == 0:
+            return True
+        if self._left(contract, month) < 1:
+            await self._borrow(contract, month)
+        if self._left(contract, month) < 1:
+            return False
+        self._table.take(contract.customer, month)
+        return True
+
+    def give_back(self, contract: declarations.Contract, month: str) -> None:
+        """Returns one request that was not counted."""
+        if contract.monthly_quantity:
+            self._table.give_back(contract.customer, month)
+
+    def _left(self, contract: declarations.Contract, month: str) -> int:
+        if not self.is_recovered:
+            return 0
+        homes = limits.assign_homes(self._view.catalogue, contract.customer)
+        return self._table.left(
+            contract.customer, month, contract.monthly_quantity, homes
+        )
+
+    async def _borrow(
+        self, contract: declarations.Contract, month: str
+    ) -> None:
+        homes = limits.assign_homes(self._view.catalogue, contract.customer)
+        share = contract.monthly_quantity // max(1, len(homes))
+        wanted = max(MIN_ASK, int(share * ASK_SHARE))
+        request = messages.QuantityRequest(
+            contract.customer, month, self._view.vm, wanted
+        )
+        for vm in homes:
+            if self._peering.link_to(vm) is None:
+                continue
+            try:
+                grant = await self._peering.ask(vm, request)
+            except errors.CitrondoorError:
+                continue
+            self._table.merge([grant.lender_use])
+            if self._left(contract, month) >= 1:
+                return
+
+    async def _on_request(
+        self, request: messages.QuantityRequest, sender: str
+    ) -> messages.QuantityGrant:
+        contract = self._view.catalogue.contracts.get(request.customer)
+        request.borrower = sender
+        if contract is None or self._left(contract, request.month) < 1:
+            return self._grant(request, None)
+        homes = limits.assign_homes(self._view.catalogue, request.customer)
+        before = self._table.snapshot_use(request.customer, request.month)
+        if not self._table.give(request, contract.monthly_quantity, homes):
+            return self._grant(request, None)
+        if await self._counts.store_use(request.customer, request.month):
+            return self._grant(request, None)
+        # Deducted here, but not told: the gift is lost rather than doubled.
+        return self._grant(request, before)
+
+    def _grant(
+        self,
+        request: messages.QuantityRequest,
+        use: messages.QuantityUse | None,
+    ) -> messages.QuantityGrant:
+        shown = use or self._table.own_use(request.customer, request.month)
+        return messages.QuantityGrant(shown)
--- /dev/null
+++ b/citrondoor/engine/_runs.py
@@ -0,0 +1,298 @@
+"""Executes non-idempotent requests, each at most once."""
+
+import asyncio
+
+import result
+
+from citrondoor import clock as clocks
+from citrondoor import errors
+from citrondoor import links
+from citrondoor import refusals
+from citrondoor import runs
+from citrondoor.codecs import upstreams as codec
+from citrondoor.engine import _admission
+from citrondoor.engine import _counting
+from citrondoor.engine import _peering
+from citrondoor.engine import _search
+from citrondoor.engine import _view
+from citrondoor.schema import declarations
+from citrondoor.schema import messages
+
+# Room for the arbiter's reply within the caller's deadline, in milliseconds.
+FORWARD_MARGIN_MS = 10
+RETRY_PAUSE_MS = 20
+
+_Outcome = messages.SubOutcome
+
+
+class RunCounters:
+    """Counts over all non-idempotent requests of one daemon."""
+
+    __slots__ = ("forwarded", "repeated", "started", "unknown")
+
+    def __init__(self):
+        self.started = 0
+        self.repeated = 0
+        self.forwarded = 0
+        self.unknown = 0
+
+
+class RunEngine:
+    """Routes a request to its arbiter, and arbitrates this daemon's own.
+
+    Args:
+      view: What this daemon knows.
+      peering: Links to peers.
+      engine: Chooses searchers.
+      admission: Checks room and limits.
+      counts: Counts requests.
+      arbiter: Decides what may run.
+      incarnation: This incarnation.
+    """
+
+    __slots__ = (
+        "_admission",
+        "_arbiter",
+        "_counts",
+        "_engine",
+        "_incarnation",
+        "_peering",
+        "_tasks",
+        "_view",
+        "counters",
+    )
+
+    def __init__(
+        self,
+        view: _view.View,
+        peering: _peering.Peering,
+        engine: _search.SearchEngine,
+        admission: _admission.Admission,
+        counts: _counting.CountKeeper,
+        arbiter: runs.Arbiter,
+        incarnation: int,
+    ):
+        self._view = view
+        self._peering = peering
+        self._engine = engine
+        self._admission = admission
+        self._counts = counts
+        self._arbiter = arbiter
+        self._incarnation = incarnation
+        self._tasks: set[asyncio.Task] = set()
+        self.counters = RunCounters()
+        peering.register(messages.RunForward, self._on_forward)
+
+    async def run(
+        self, request: messages.RunRequest, contract: declarations.Contract
+    ) -> result.Result[messages.RunAnswer, messages.Refusal]:
+        """Returns the outcome of a request, wherever it is arbitrated."""
+        session = runs.parse_session(request.id.session)
+        if session is None:
+            return result.Err(refusals.session_unknown())
+        if session.vm == self._view.vm:
+            return await self._arbitrate(session, request, contract)
+        return await self._forward(session, request, contract)
+
+    async def finish_running(self) -> None:
+        """Waits until every request that was started has ended."""
+        if self._tasks:
+            await asyncio.wait(list(self._tasks))
+
+    async def _forward(
+        self,
+        session: runs.Session,
+        request: messages.RunRequest,
+        contract: declarations.Contract,
+    ) -> result.Result[messages.RunAnswer, messages.Refusal]:
+        left_ms = request.deadline_at - self._view.clock.now()
+        self.counters.forwarded += 1
+        message = messages.RunForward(request, contract.customer, left_ms)
+        try:
+            reply = await self._peering.ask(
+                session.vm, message, max(1, left_ms - FORWARD_MARGIN_MS)
+            )
+        except errors.CitrondoorError as error:
+            self.counters.unknown += 1
+            return result.Err(refusals.run_unknown(str(error)))
+        return _to_result(reply)
+
+    async def _on_forward(
+        self, forward: messages.RunForward, sender: str
+    ) -> messages.RunReply:
+        request = forward.request
+        # Clocks of two machines do not agree: only the time left is sent.
+        request.deadline_at = self._view.clock.now() + forward.deadline_ms
+        contract = self._view.catalogue.contracts.get(forward.customer)
+        session = runs.parse_session(request.id.session)
+        if contract is None or session is None:
+            refusal = refusals.run_unknown(
+                "the arbiter does not know this contract or session"
+            )
+            return messages.RunReply(refusal=refusal)
+        outcome = await self._arbitrate(session, request, contract)
+        if outcome.is_ok():
+            return messages.RunReply(answer=outcome.unwrap())
+        return messages.RunReply(refusal=outcome.unwrap_err())
+
+    async def _arbitrate(
+        self,
+        session: runs.Session,
+        request: messages.RunRequest,
+        contract: declarations.Contract,
+    ) -> result.Result[messages.RunAnswer, messages.Refusal]:
+        if session.incarnation != self._incarnation:
+            self.counters.unknown += 1
+            return result.Err(
+                refusals.run_unknown("the arbiter of this session is gone")
+            )
+        begun = self._arbiter.begin(contract.customer, request.id)
+        if begun == runs.Begun.FIRST:
+            task = asyncio.create_task(self._execute(request, contract))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            # The caller may leave; the execution still ends and is recorded.
+            await asyncio.shield(task)
+        elif begun == runs.Begun.IN_PROGRESS:
+            return result.Err(refusals.in_progress())
+        elif begun == runs.Begun.FORGOTTEN:
+            return result.Err(
+                refusals.run_unknown("the result is not kept any more")
+            )
+        else:
+            self.counters.repeated += 1
+        reply = self._arbiter.reply_of(contract.customer, request.id)
+        return await self._deliver(
+            reply, contract, is_repeated=begun == runs.Begun.REPEATED
+        )
+
+    async def _deliver(
+        self,
+        reply: messages.RunReply,
+        contract: declarations.Contract,
+        is_repeated: bool,
+    ) -> result.Result[messages.RunAnswer, messages.Refusal]:
+        if reply.answer is None:
+            return result.Err(reply.refusal)
+        answer = reply.answer
+        receipt = await self._counts.count(contract.customer, answer.id)
+        if receipt is None:
+            return result.Err(refusals.not_counted(messages.Ran.UNKNOWN))
+        return result.Ok(
+            messages.RunAnswer(answer.id, answer.result, receipt, is_repeated)
+        )
+
+    async def _execute(
+        self, request: messages.RunRequest, contract: declarations.Contract
+    ) -> None:
+        reply = messages.RunReply(
+            refusal=refusals.run_unknown("the execution failed")
+        )
+        try:
+            refusal = await self._check(request, contract)
+            if refusal is not None:
+                # Sealed: this id will never run, so "not run" stays true.
+                reply = messages.RunReply(refusal=refusal)
+            else:
+                reply = await self._send_until_deadline(request, contract)
+                if reply.answer is None:
+                    self._admission.give_back(contract)
+        finally:
+            self._arbiter.finish(
+                contract.customer, request.id, reply, self._view.clock.now()
+            )
+
+    async def _check(
+        self, request: messages.RunRequest, contract: declarations.Contract
+    ) -> messages.Refusal | None:
+        refusal = self._admission.check_room()
+        if refusal is None:
+            refusal = await self._admission.confirm_view(request.deadline_at)
+        if refusal is None:
+            refusal = await self._admission.take_rate(
+                contract, request.deadline_at
+            )
+        if refusal is None:
+            refusal = await self._admission.take_quantity(contract)
+        if refusal is not None:
+            refusal.remedy = (
+                f"{refusal.remedy}; this id will never run, so send it under"
+                " a new id"
+            )
+        return refusal
+
+    async def _send_until_deadline(
+        self, request: messages.RunRequest, contract: declarations.Contract
+    ) -> messages.RunReply:
+        """Sends it again only while it provably has not started."""
+        clock = self._view.clock
+        backend = self._engine.backend(request.backend)
+        declared_backend = self._view.catalogue.backends[request.backend]
+        names = tuple(s.name for s in declared_backend.searchers)
+        tried: set[str] = set()
+        while clock.now() < request.deadline_at:
+            if not self._engine.is_view_fresh(clock.now()):
+                await asyncio.sleep(RETRY_PAUSE_MS / clocks.MS_PER_S)
+                continue
+            searcher = backend.chooser.choose(names, tried, clock.now())
+            if searcher is None:
+                tried.clear()
+                await asyncio.sleep(RETRY_PAUSE_MS / clocks.MS_PER_S)
+                continue
+            tried.add(searcher)
+            answer = await self._send(searcher, request, contract)
+            if answer.outcome in (_Outcome.UNSENT, _Outcome.SHED):
+                continue
+            return self._reply_for(request, answer)
+        return messages.RunReply(
+            refusal=refusals.unavailable(request.backend, messages.Ran.NO)
+        )
+
+    async def _send(
+        self,
+        searcher: str,
+        request: messages.RunRequest,
+        contract: declarations.Contract,
+    ) -> messages.SubAnswer:
+        link = self._engine.pool.links.get(searcher)
+        number = next(self._engine.attempt_numbers)
+        if link is None:
+            return messages.SubAnswer(number, _Outcome.UNSENT)
+        now = self._view.clock.now()
+        future = asyncio.get_running_loop().create_future()
+        payload = codec.encode_run(
+            link.run_head, number, request, request.deadline_at - now
+        )
+        call = links.Call(
+            number,
+            payload,
+            contract.customer,
+            request.deadline_at,
+            codec.decode_run_answer,
+            future.set_result,
+        )
+        self.counters.started += 1
+        link.submit(call, now)
+        return await future
+
+    def _reply_for(
+        self, request: messages.RunRequest, answer: messages.SubAnswer
+    ) -> messages.RunReply:
+        if answer.outcome == _Outcome.ANSWERED:
+            return messages.RunReply(
+                answer=messages.RunAnswer(request.id, answer.result)
+            )
+        self.counters.unknown += 1
+        return messages.RunReply(
+            refusal=refusals.run_unknown(
+                f"the back end {request.backend!r} did not confirm the run"
+            )
+        )
+
+
+def _to_result(
+    reply: messages.RunReply,
+) -> result.Result[messages.RunAnswer, messages.Refusal]:
+    if reply.answer is not None:
+        return result.Ok(reply.answer)
+    return result.Err(reply.refusal)
--- /dev/null
+++ b/citrondoor/engine/_service.py
@@ -0,0 +1,177 @@
+"""What every front end offers: search, run, entries, counts and events."""
+
+import asyncio
+import random
+
+import result
+
+from citrondoor import membership
+from citrondoor import refusals
+from citrondoor import runs
+from citrondoor.engine import _admission
+from citrondoor.engine import _counting
+from citrondoor.engine import _runs
+from citrondoor.engine import _search
+from citrondoor.engine import _view
+from citrondoor.schema import declarations
+from citrondoor.schema import messages
+
+
+class Service:
+    """The requests of callers, free of any encoding.
+
+    Args:
+      view: What this daemon knows.
+      admission: Admits requests.
+      engine: Runs queries.
+      run_engine: Runs non-idempotent requests.
+      counts: Counts requests.
+      sessions: Issues sessions.
+      source: Random source.
+    """
+
+    __slots__ = (
+        "_admission",
+        "_counts",
+        "_engine",
+        "_run_engine",
+        "_sessions",
+        "_source",
+        "_view",
+        "entries_handed_at",
+    )
+
+    def __init__(
+        self,
+        view: _view.View,
+        admission: _admission.Admission,
+        engine: _search.SearchEngine,
+        run_engine: _runs.RunEngine,
+        counts: _counting.CountKeeper,
+        sessions: runs.SessionIssuer,
+        source: random.Random,
+    ):
+        self._view = view
+        self._admission = admission
+        self._engine = engine
+        self._run_engine = run_engine
+        self._counts = counts
+        self._sessions = sessions
+        self._source = source
+        self.entries_handed_at = 0
+
+    async def search(
+        self, key: str, request: messages.SearchRequest
+    ) -> result.Result[messages.SearchAnswer, messages.Refusal]:
+        """Returns an answer with its receipt, or a refusal."""
+        authenticated = self._admission.authenticate(key)
+        if authenticated.is_err():
+            return authenticated
+        contract = authenticated.unwrap()
+        refusal = self._admission.check_backend(
+            contract, request.backend, declarations.BackendKind.SEARCH
+        )
+        refusal = refusal or await self._admit(request, contract)
+        if refusal is not None:
+            return result.Err(refusal)
+        self._admission.in_flight += 1
+        try:
+            return await self._search_and_count(request, contract)
+        finally:
+            self._admission.in_flight -= 1
+
+    async def run(
+        self, key: str, request: messages.RunRequest
+    ) -> result.Result[messages.RunAnswer, messages.Refusal]:
+        """Runs a non-idempotent request at most once."""
+        authenticated = self._admission.authenticate(key)
+        if authenticated.is_err():
+            return authenticated
+        contract = authenticated.unwrap()
+        refusal = self._admission.check_backend(
+            contract, request.backend, declarations.BackendKind.RUN
+        )
+        if refusal is not None:
+            return result.Err(refusal)
+        self._admission.in_flight += 1
+        try:
+            return await self._run_engine.run(request, contract)
+        finally:
+            self._admission.in_flight -= 1
+
+    def entries(self, key: str, zone: str) -> list[declarations.Vm]:
+        """Returns the entry VMs to use, the first one first."""
+        authenticated = self._admission.authenticate(key)
+        customer = (
+            authenticated.ok().customer if authenticated.is_ok() else None
+        )
+        self.entries_handed_at = self._view.clock.now()
+        return membership.choose_entries(
+            self._view.catalogue,
+            self._view.members.live(),
+            zone,
+            customer,
+            self._source,
+        )
+
+    def issue_session(self) -> str:
+        """Returns a session for the ids of one caller."""
+        return self._sessions.issue()
+
+    async def totals(self, month: str) -> _counting.CountedTotals:
+        """Returns the counted requests of a month over the fleet."""
+        return await self._counts.totals(month)
+
+    def events(self, after_wall_ms: int) -> list[messages.Event]:
+        """Returns this daemon's events after a wall reading."""
+        return self._view.recorder.after(after_wall_ms)
+
+    async def _admit(
+        self, request: messages.SearchRequest, contract: declarations.Contract
+    ) -> messages.Refusal | None:
+        admission = self._admission
+        refusal = admission.check_room()
+        if refusal is None:
+            refusal = await admission.confirm_view(request.deadline_at)
+        # The pause may have hidden that the operators took this zone out.
+        refusal = refusal or admission.check_room()
+        if refusal is None:
+            refusal = await admission.take_rate(contract, request.deadline_at)
+        if refusal is None:
+            refusal = await admission.take_quantity(contract)
+        if refusal is None and self._view.clock.now() >= request.deadline_at:
+            admission.give_back(contract)
+            return refusals.deadline_expired()
+        return refusal
+
+    async def _search_and_count(
+        self, request: messages.SearchRequest, contract: declarations.Contract
+    ) -> result.Result[messages.SearchAnswer, messages.Refusal]:
+        counting: asyncio.Task | None = None
+
+        def start_counting() -> None:
+            # Overlaps the search: an answer is certain once a shard answered.
+            nonlocal counting
+            counting = asyncio.create_task(
+                self._counts.count(contract.customer, request.id)
+            )
+
+        found = await self._engine.search(request, contract, start_counting)
+        if counting is None and found.is_ok():
+            # A snapshot without shards is answered without any sub-request.
+            start_counting()
+        receipt = await counting if counting is not None else None
+        if found.is_err():
+            if receipt is None:
+                self._admission.give_back(contract)
+            else:
+                found.unwrap_err().counted = True
+            return found
+        if receipt is None:
+            self._admission.give_back(contract)
+            return result.Err(refusals.not_counted(messages.Ran.UNKNOWN))
+        if receipt.repeated:
+            self._admission.give_back(contract)
+        answer = found.unwrap()
+        answer.receipt = receipt
+        return result.Ok(answer)
--- /dev/null
+++ b/citrondoor/engine/_warmth.py
@@ -0,0 +1,76 @@
+"""Asks wardens for calls at cold searchers."""
+
+import asyncio
+
+from citrondoor import clock as clocks
+from citrondoor import errors
+from citrondoor import limits
+from citrondoor.engine import _peering
+from citrondoor.engine import _view
+from citrondoor.schema import messages
+
+ASK_EVERY_MS = 50
+# Calls that one daemon asks for at one cold searcher.
+WANTED_CALLS = 8
+
+
+class WarmthKeeper:
+    """Borrows and lends calls at cold searchers.
+
+    Args:
+      view: What this daemon knows.
+      peering: Links to peers.
+      warmth: Levels and leases.
+    """
+
+    __slots__ = ("_peering", "_tasks", "_view", "_warmth")
+
+    def __init__(
+        self,
+        view: _view.View,
+        peering: _peering.Peering,
+        warmth: limits.Warmth,
+    ):
+        self._view = view
+        self._peering = peering
+        self._warmth = warmth
+        self._tasks: set[asyncio.Task] = set()
+        peering.register(messages.WarmthAsks, self._on_asks)
+
+    async def run(self) -> None:
+        """Asks as long as queries want cold searchers."""
+        while True:
+            if self._warmth.cold_count:
+                self._ask_all()
+            await asyncio.sleep(ASK_EVERY_MS / clocks.MS_PER_S)
+
+    def _ask_all(self) -> None:
+        now = self._view.clock.now()
+        for warden, asks in self._warmth.asks(WANTED_CALLS, now).items():
+            if warden == self._view.vm:
+                for ask in asks:
+                    grant = self._warmth.grant(ask, warden, now)
+                    self._warmth.receive(grant, now, now)
+                continue
+            task = asyncio.create_task(self._ask(warden, asks))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _ask(self, warden: str, asks: list[messages.WarmthAsk]) -> None:
+        asked_at = self._view.clock.now()
+        try:
+            reply = await self._peering.ask(warden, messages.WarmthAsks(asks))
+        except errors.CitrondoorError:
+            # Without a grant nothing is sent; the next round asks again.
+            return
+        now = self._view.clock.now()
+        for grant in reply.grants:
+            self._warmth.receive(grant, asked_at, now)
+
+    async def _on_asks(
+        self, question: messages.WarmthAsks, sender: str
+    ) -> messages.WarmthGrants:
+        now = self._view.clock.now()
+        return messages.WarmthGrants(
+            [self._warmth.grant(ask, sender, now) for ask in question.asks]
+        )
--- /dev/null
+++ b/citrondoor/front/_status.py
@@ -0,0 +1,84 @@
+"""What a daemon tells operators of itself."""
+
+from collections.abc import Callable
+
+from citrondoor import links
+from citrondoor.engine import _view
+from citrondoor.schema import messages
+
+
+class StatusSource:
+    """Collects the status of a daemon.
+
+    Args:
+      view: What this daemon knows.
+      pool: Links to searchers.
+      incarnation: This incarnation.
+      state: Returns the state of the daemon's life.
+      revision: Returns the revision of the configuration.
+      counters: Functions that read counters, by name.
+    """
+
+    __slots__ = (
+        "_counters",
+        "_incarnation",
+        "_pool",
+        "_revision",
+        "_state",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        view: _view.View,
+        pool: links.UpstreamPool,
+        incarnation: int,
+        state: Callable[[], str],
+        revision: Callable[[], int],
+        counters: dict[str, Callable[[], float]],
+    ):
+        self._view = view
+        self._pool = pool
+        self._incarnation = incarnation
+        self._state = state
+        self._revision = revision
+        self._counters = counters
+
+    def state(self) -> str:
+        """Returns the state of the daemon's life."""
+        return self._state()
+
+    def is_ready(self) -> bool:
+        """Returns whether callers may be sent here."""
+        is_in = self._view.catalogue.is_vm_in(self._view.vm)
+        return self._state() == "serving" and is_in
+
+    def content(self) -> dict:
+        """Returns the status as JSON content."""
+        catalogue = self._view.catalogue
+        return {
+            "vm": self._view.vm,
+            "zone": self._view.zone,
+            "incarnation": self._incarnation,
+            "state": self._state(),
+            "ready": self.is_ready(),
+            "revision": self._revision(),
+            "zones": {
+                name: "in" if catalogue.is_zone_in(name) else "out"
+                for name in sorted(catalogue.zones)
+            },
+            "members": [
+                {
+                    "vm": member.vm,
+                    "incarnation": member.incarnation,
+                    "state": messages.MemberState(member.state).name.lower(),
+                }
+                for member in self._view.members.table
+            ],
+            "connections": sum(
+                link.connection_count for link in self._pool.links.values()
+            ),
+            "counters": {
+                name: read() for name, read in sorted(self._counters.items())
+            },
+        }
--- /dev/null
+++ b/citrondoor/limits/_leases.py
@@ -0,0 +1,95 @@
+"""Moves shares between VMs for a short time.
+
+The lender deducts a share before the grant leaves and takes it back after the
+borrower's lease has ended: the borrower counts from before it asked, the
+lender from after it granted, and adds a margin for clocks that run apart. A
+lost message therefore loses a share for one lease and never doubles it.
+"""
+
+LEASE_MS = 1000
+# Covers clocks whose rates differ by up to 5%.
+LEASE_MARGIN_MS = 50
+# Grants smaller than this share are not worth a message.
+MIN_GRANT_SHARE = 0.001
+
+
+class _Lease:
+    __slots__ = ("ends_at", "share")
+
+    def __init__(self, share: float, ends_at: int):
+        self.share = share
+        self.ends_at = ends_at
+
+
+class Lender:
+    """Shares that this VM lent to others, for one customer."""
+
+    __slots__ = ("_leases",)
+
+    def __init__(self):
+        self._leases: dict[str, list[_Lease]] = {}
+
+    def lent(self, now: int) -> float:
+        """Returns the share that borrowers may still use."""
+        return sum(self.lent_to(borrower, now) for borrower in self._leases)
+
+    def lent_to(self, borrower: str, now: int) -> float:
+        """Returns the share that one borrower may still use.
+
+        A renewal replaces the lease before it, but the borrower may not have
+        received it: the larger one counts until it has ended.
+        """
+        leases = self._leases.get(borrower, ())
+        return max((x.share for x in leases if x.ends_at > now), default=0.0)
+
+    def grant(self, borrower: str, share: float, now: int) -> None:
+        """Notes a lease that is about to be sent."""
+        ends_at = now + LEASE_MS + LEASE_MARGIN_MS
+        kept = [x for x in self._leases.get(borrower, ()) if x.ends_at > now]
+        self._leases[borrower] = [*kept, _Lease(share, ends_at)]
+
+    def drop_ended(self, now: int) -> None:
+        """Forgets leases that have ended."""
+        for borrower in list(self._leases):
+            kept = [x for x in self._leases[borrower] if x.ends_at > now]
+            if kept:
+                self._leases[borrower] = kept
+            else:
+                del self._leases[borrower]
+
+
+class Borrower:
+    """Shares that this VM borrowed from others, for one customer."""
+
+    __slots__ = ("_leases",)
+
+    def __init__(self):
+        self._leases: dict[str, _Lease] = {}
+
+    def borrowed(self, now: int) -> float:
+        """Returns the borrowed share that may be used now."""
+        return sum(x.share for x in self._leases.values() if x.ends_at > now)
+
+    def ends_between(self, after: int, until: int) -> list[int]:
+        """Returns when leases ended in `(after, until]`, in order."""
+        ends = {x.ends_at for x in self._leases.values()}
+        return sorted(end for end in ends if after < end <= until)
+
+    def borrowed_from(self, lender: str, now: int) -> float:
+        """Returns the share borrowed from one lender."""
+        lease = self._leases.get(lender)
+        return lease.share if lease and lease.ends_at > now else 0.0
+
+    def receive(
+        self, lender: str, share: float, lease_ms: int, asked_at: int
+    ) -> None:
+        """Takes a grant; it counts from when the question was sent."""
+        self._leases[lender] = _Lease(share, asked_at + lease_ms)
+
+    def drop_ended(self, now: int) -> None:
+        """Forgets leases that have ended."""
+        self._leases = {
+            lender: lease
+            for lender, lease in self._leases.items()
+            if lease.ends_at > now
+        }
--- /dev/null
+++ b/citrondoor/limits/_rates.py
@@ -0,0 +1,267 @@
+"""Admits requests within the rate and burst of a contract, fleet-wide."""
+
+from collections.abc import Callable
+
+from citrondoor import clock
+from citrondoor import declarations as declared
+from citrondoor.limits import _bucket
+from citrondoor.limits import _leases
+from citrondoor.limits import _shares
+from citrondoor.schema import declarations
+from citrondoor.schema import messages
+
+# Demand is averaged over about this time.
+DEMAND_WINDOW_MS = 1000
+# A daemon keeps or asks for this much more than its measured demand.
+HEADROOM = 1.3
+# Some homes may have nothing to lend: each is asked for more than its part.
+ASK_MARGIN = 1.5
+# A customer without demand for this long asks for no lease.
+IDLE_MS = 3000
+# A new incarnation waits until leases of its predecessor have ended.
+START_HOLD_MS = _leases.LEASE_MS + _leases.LEASE_MARGIN_MS
+
+
+class CustomerRate:
+    """This daemon's part of one customer's rate.
+
+    Args:
+      vm: Name of this VM.
+      contract: The contract in force.
+      started_at: When this incarnation started, a clock reading in ms.
+      known_revision: Returns the revision that a VM is known to have taken.
+    """
+
+    __slots__ = (
+        "_borrower",
+        "_bucket",
+        "_contract",
+        "_demand",
+        "_demand_at",
+        "_home",
+        "_known_revision",
+        "_lender",
+        "_open_at",
+        "_resized_at",
+        "_size",
+        "_vm",
+        "_wanted_at",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        contract: declarations.Contract,
+        started_at: int,
+        known_revision: Callable[[str], int],
+    ):
+        self._vm = vm
+        self._contract = contract
+        self._known_revision = known_revision
+        self._home = _shares.HomeShares(vm)
+        self._lender = _leases.Lender()
+        self._borrower = _leases.Borrower()
+        self._bucket = _bucket.Bucket(started_at)
+        self._open_at = started_at + START_HOLD_MS
+        self._demand = 0.0
+        self._demand_at = started_at
+        self._wanted_at = started_at - IDLE_MS
+        self._size = 0.0
+        self._resized_at = started_at
+
+    @property
+    def homes(self) -> list[str]:
+        """VMs that hold shares of this customer."""
+        return self._home.homes
+
+    def set_contract(
+        self,
+        contract: declarations.Contract,
+        revision: int,
+        homes: list[str],
+        now: int,
+    ) -> None:
+        """Takes a new contract or a new assignment of homes."""
+        self._contract = contract
+        self._home.assign(revision, homes)
+        self._resize(now)
+
+    def admit(self, now: int) -> bool:
+        """Takes a token for one request; returns False when there is none."""
+        self._note_demand(now)
+        self._resize(now)
+        return self._bucket.take(now)
+
+    def admit_again(self, now: int) -> bool:
+        """Like `admit`, for a request whose demand was noted before."""
+        self._resize(now)
+        return self._bucket.take(now)
+
+    def retry_after_ms(self, now: int) -> int:
+        """Returns when a refused request may be admitted."""
+        wait = self._bucket.wait_ms(now)
+        return _leases.LEASE_MS if wait is None else wait
+
+    def has_demand(self, now: int) -> bool:
+        """Returns whether requests came lately."""
+        return now - self._wanted_at < IDLE_MS
+
+    def wanted_share(self, now: int) -> float:
+        """Returns the share that the measured demand needs, up to 1."""
+        if not self.has_demand(now):
+            return 0.0
+        demand_per_s = self._demand_now(now) * clock.MS_PER_S
+        needed = demand_per_s * HEADROOM / self._contract.rate_per_s
+        # A share of less than one token of the burst admits nothing.
+        least = min(1.0, HEADROOM / self._contract.burst)
+        return min(1.0, max(needed, least))
+
+    def asks(self, now: int) -> dict[str, float]:
+        """Returns the share to ask of each home, this VM left out."""
+        wanted = self.wanted_share(now)
+        missing = wanted - self._own_share(now)
+        others = [vm for vm in self._home.homes if vm != self._vm]
+        if missing <= 0 or not others:
+            return {}
+        part = 1 / len(self._home.homes)
+        asked = min(part, ASK_MARGIN * missing / len(others))
+        return dict.fromkeys(others, asked)
+
+    def lend(
+        self, borrower: str, asked: float, now: int
+    ) -> messages.LeaseGrant:
+        """Grants what this VM does not need itself, and deducts it first."""
+        self._lender.drop_ended(now)
+        before = self._lender.lent_to(borrower, now)
+        others = self._lender.lent(now) - before
+        reserve = min(self._home_share(now), self.wanted_share(now))
+        free = self._home_share(now) - others - reserve
+        share = max(0.0, min(asked, free))
+        if share < _leases.MIN_GRANT_SHARE:
+            share = 0.0
+        tokens = self._take_for(max(0.0, share - before), now)
+        if share:
+            self._lender.grant(borrower, share, now)
+        self._resize(now)
+        return messages.LeaseGrant(
+            self._contract.customer, share, tokens, _leases.LEASE_MS
+        )
+
+    def receive(
+        self, lender: str, grant: messages.LeaseGrant, asked_at: int, now: int
+    ) -> None:
+        """Takes a grant that was asked for at `asked_at`."""
+        self._borrower.receive(lender, grant.share, grant.lease_ms, asked_at)
+        self._resize(now)
+        if self._borrower.borrowed_from(lender, now):
+            self._bucket.add(grant.tokens, now)
+
+    def usable_share(self, now: int) -> float:
+        """Returns the share that this daemon may use now."""
+        return self._own_share(now) + self._borrower.borrowed(now)
+
+    def _home_share(self, now: int) -> float:
+        if now < self._open_at:
+            return 0.0
+        return self._home.share(self._known_revision)
+
+    def _own_share(self, now: int) -> float:
+        return max(0.0, self._home_share(now) - self._lender.lent(now))
+
+    def _take_for(self, share: float, now: int) -> float:
+        if share <= 0 or self._size <= 0:
+            return 0.0
+        part = min(1.0, share / self._size)
+        return self._bucket.remove(self._bucket.level * part, now)
+
+    def _resize(self, now: int) -> None:
+        # A lease that ended since the last call must not refill until now.
+        for ended_at in self._borrower.ends_between(self._resized_at, now):
+            self._resize_at(ended_at)
+        self._resize_at(now)
+        self._borrower.drop_ended(now)
+
+    def _resize_at(self, at: int) -> None:
+        size = self.usable_share(at)
+        self._size = size
+        self._resized_at = at
+        self._bucket.resize(
+            self._contract.rate_per_s * size, self._contract.burst * size, at
+        )
+
+    def _note_demand(self, now: int) -> None:
+        self._demand = self._demand_now(now) + 1 / DEMAND_WINDOW_MS
+        self._demand_at = now
+        self._wanted_at = now
+
+    def _demand_now(self, now: int) -> float:
+        elapsed = max(0, now - self._demand_at)
+        return self._demand * max(0.0, 1 - elapsed / DEMAND_WINDOW_MS)
+
+
+class RateTable:
+    """The rates of all customers on this daemon.
+
+    Args:
+      vm: Name of this VM.
+      started_at: When this incarnation started, a clock reading in ms.
+      known_revision: Returns the revision that a VM is known to have taken.
+    """
+
+    __slots__ = (
+        "_catalogue",
+        "_known_revision",
+        "_rates",
+        "_started_at",
+        "_vm",
+    )
+
+    def __init__(
+        self, vm: str, started_at: int, known_revision: Callable[[str], int]
+    ):
+        self._vm = vm
+        self._started_at = started_at
+        self._known_revision = known_revision
+        self._rates: dict[str, CustomerRate] = {}
+        self._catalogue = declared.Catalogue([])
+
+    def set_catalogue(self, catalogue: declared.Catalogue, now: int) -> None:
+        """Takes the contracts and VMs in force."""
+        self._catalogue = catalogue
+        for customer in list(self._rates):
+            if customer not in catalogue.contracts:
+                del self._rates[customer]
+            else:
+                self._assign(customer, self._rates[customer], now)
+
+    def rate_of(self, customer: str, now: int) -> CustomerRate | None:
+        """Returns a customer's rate, or None without a contract."""
+        rate = self._rates.get(customer)
+        if rate is not None:
+            return rate
+        contract = self._catalogue.contracts.get(customer)
+        if contract is None:
+            return None
+        rate = CustomerRate(
+            self._vm, contract, self._started_at, self._known_revision
+        )
+        self._assign(customer, rate, now)
+        self._rates[customer] = rate
+        return rate
+
+    def asks(self, now: int) -> dict[str, list[messages.LeaseRequest]]:
+        """Returns the lease requests to send, by VM."""
+        by_vm: dict[str, list[messages.LeaseRequest]] = {}
+        for customer, rate in self._rates.items():
+            if not rate.has_demand(now):
+                continue
+            for vm, share in rate.asks(now).items():
+                if vm != self._vm:
+                    request = messages.LeaseRequest(customer, share)
+                    by_vm.setdefault(vm, []).append(request)
+        return by_vm
+
+    def _assign(self, customer: str, rate: CustomerRate, now: int) -> None:
+        contract = self._catalogue.contracts[customer]
+        homes = _shares.assign_homes(self._catalogue, customer)
+        rate.set_contract(contract, self._catalogue.vms_revision, homes, now)
--- /dev/null
+++ b/citrondoor/limits/_warmth.py
@@ -0,0 +1,226 @@
+"""How much work cold searchers get, over all daemons together.
+
+Each cold searcher has a warden: the live daemon that ranks first for it by
+rendezvous. The warden alone hands out the calls that may be in flight there,
+as short leases, and never more than the searcher's level. It raises the level
+as good answers are reported. Any daemon that sees a shed or a lost connection
+declares the searcher cold from now on; a later time outranks every level
+before it. Heartbeats spread who is cold and the level.
+"""
+
+from citrondoor import rendezvous
+from citrondoor.limits import _leases
+from citrondoor.schema import messages
+
+START_LEVEL = 1
+# Good answers at one level before the warden raises it, for each call of it.
+ANSWERS_PER_LEVEL = 6
+UNLIMITED = 1 << 30
+# A searcher that no query chose for this long is not asked for any more.
+WANT_MS = 1000
+
+
+class _Cold:
+    """What is known of one cold searcher."""
+
+    __slots__ = (
+        "answered",
+        "calls",
+        "calls_until",
+        "full_level",
+        "lender",
+        "level",
+        "reported",
+        "since_ms",
+        "wanted_until",
+        "warden",
+        "warden_since",
+    )
+
+    def __init__(self, since_ms: int, full_level: int):
+        self.since_ms = since_ms
+        self.level = START_LEVEL
+        self.full_level = full_level
+        # As the warden.
+        self.reported = 0
+        self.lender = _leases.Lender()
+        self.warden: str | None = None
+        self.warden_since = 0
+        # As a borrower.
+        self.answered = 0
+        self.calls = 0
+        self.calls_until = 0
+        self.wanted_until = 0
+
+
+class Warmth:
+    """Levels and leases of the searchers that are cold.
+
+    Args:
+      vm: Name of this VM.
+    """
+
+    __slots__ = ("_cold", "_full_levels", "_members", "_vm", "_warm")
+
+    def __init__(self, vm: str):
+        self._vm = vm
+        self._cold: dict[str, _Cold] = {}
+        # When searchers that are warm now were last cold.
+        self._warm: dict[str, int] = {}
+        self._full_levels: dict[str, int] = {}
+        self._members: list[str] = [vm]
+
+    @property
+    def cold_count(self) -> int:
+        """Searchers that are not warm."""
+        return len(self._cold)
+
+    def is_cold(self, searcher: str) -> bool:
+        """Returns whether a searcher is cold."""
+        return searcher in self._cold
+
+    def level(self, searcher: str) -> int:
+        """Returns the calls that all daemons may have there together."""
+        cold = self._cold.get(searcher)
+        return UNLIMITED if cold is None else cold.level
+
+    def set_members(self, members: list[str], now: int) -> None:
+        """Takes the daemons that are believed to be alive."""
+        if members == self._members:
+            return
+        self._members = members
+        for name, cold in self._cold.items():
+            self._set_warden(name, cold, now)
+
+    def set_full_level(self, searcher: str, level: int) -> None:
+        """Declares the level at which a searcher counts as warm."""
+        self._full_levels[searcher] = level
+
+    def note_cold(self, searcher: str, wall_ms: int, now: int) -> None:
+        """Notes that a searcher turned cold."""
+        known = self._cold.get(searcher)
+        full = self._full_levels.get(searcher, START_LEVEL + 1)
+        cold = _Cold(wall_ms, full)
+        if known is not None:
+            # What was lent before is still in use.
+            cold.lender = known.lender
+            cold.wanted_until = known.wanted_until
+        self._set_warden(searcher, cold, now)
+        self._cold[searcher] = cold
+        self._warm.pop(searcher, None)
+
+    def allowed(self, searcher: str, now: int) -> int:
+        """Returns how many calls this daemon may have there at once."""
+        cold = self._cold.get(searcher)
+        if cold is None:
+            return UNLIMITED
+        cold.wanted_until = now + WANT_MS
+        return cold.calls if now < cold.calls_until else 0
+
+    def on_answered(self, searcher: str) -> None:
+        """Notes a good answer, to be reported to the warden."""
+        cold = self._cold.get(searcher)
+        if cold is not None:
+            cold.answered += 1
+
+    def asks(
+        self, wanted_calls: int, now: int
+    ) -> dict[str, list[messages.WarmthAsk]]:
+        """Returns what to ask of which warden; this VM may be among them."""
+        by_warden: dict[str, list[messages.WarmthAsk]] = {}
+        for name, cold in self._cold.items():
+            if now >= cold.wanted_until or cold.warden is None:
+                continue
+            ask = messages.WarmthAsk(name, wanted_calls, cold.answered)
+            cold.answered = 0
+            by_warden.setdefault(cold.warden, []).append(ask)
+        return by_warden
+
+    def grant(
+        self, ask: messages.WarmthAsk, borrower: str, now: int
+    ) -> messages.WarmthGrant:
+        """Lends calls at a searcher that this daemon is the warden of."""
+        calls = 0
+        cold = self._cold.get(ask.searcher)
+        if cold is not None and self._may_grant(cold, now):
+            self._take_report(ask.searcher, cold, ask.answered)
+            cold.lender.drop_ended(now)
+            before = int(cold.lender.lent_to(borrower, now))
+            others = int(cold.lender.lent(now)) - before
+            calls = max(0, min(ask.calls, cold.level - others))
+            if calls:
+                cold.lender.grant(borrower, calls, now)
+        return messages.WarmthGrant(ask.searcher, calls, _leases.LEASE_MS)
+
+    def receive(
+        self, grant: messages.WarmthGrant, asked_at: int, now: int
+    ) -> None:
+        """Takes a grant that was asked for at `asked_at`."""
+        cold = self._cold.get(grant.searcher)
+        if cold is not None:
+            cold.calls = grant.calls
+            cold.calls_until = asked_at + grant.lease_ms
+
+    def levels(self) -> list[messages.SearcherLevel]:
+        """Returns the levels to spread."""
+        cold = [
+            messages.SearcherLevel(name, state.since_ms, state.level)
+            for name, state in self._cold.items()
+        ]
+        warm = [
+            messages.SearcherLevel(name, since_ms, self._full_levels[name])
+            for name, since_ms in self._warm.items()
+            if name in self._full_levels
+        ]
+        return cold + warm
+
+    def merge(self, levels: list[messages.SearcherLevel], now: int) -> None:
+        """Takes levels of other daemons; the later and higher one counts."""
+        for level in levels:
+            if level.searcher in self._full_levels:
+                self._merge_one(level, now)
+
+    def forget_before(self, wall_ms: int) -> None:
+        """Stops spreading searchers that were last cold before a time."""
+        self._warm = {n: at for n, at in self._warm.items() if at >= wall_ms}
+
+    def _merge_one(self, other: messages.SearcherLevel, now: int) -> None:
+        name = other.searcher
+        cold = self._cold.get(name)
+        known_since = cold.since_ms if cold else self._warm.get(name, -1)
+        if other.cold_since_ms < known_since:
+            return
+        if other.cold_since_ms > known_since:
+            self.note_cold(name, other.cold_since_ms, now)
+            cold = self._cold[name]
+        if cold is not None and other.level > cold.level:
+            self._raise_to(name, cold, other.level)
+
+    def _may_grant(self, cold: _Cold, now: int) -> bool:
+        # Leases of the warden before must have ended.
+        ready_at = (
+            cold.warden_since + _leases.LEASE_MS + _leases.LEASE_MARGIN_MS
+        )
+        return cold.warden == self._vm and now >= ready_at
+
+    def _take_report(self, searcher: str, cold: _Cold, answered: int) -> None:
+        cold.reported += answered
+        if cold.reported >= ANSWERS_PER_LEVEL * cold.level:
+            self._raise_to(searcher, cold, cold.level + 1)
+
+    def _raise_to(self, searcher: str, cold: _Cold, level: int) -> None:
+        cold.level = level
+        cold.reported = 0
+        if level >= cold.full_level:
+            del self._cold[searcher]
+            self._warm[searcher] = cold.since_ms
+
+    def _set_warden(self, searcher: str, cold: _Cold, now: int) -> None:
+        ranking = rendezvous.rank(f"warm/{searcher}", self._members)
+        warden = ranking[0] if ranking else None
+        if warden == cold.warden:
+            return
+        # The first warden of a searcher that just turned cold waits for none.
+        is_first = cold.warden is None
+        cold.warden = warden
+        cold.warden_since = now - (1 << 30) if is_first else now
--- /dev/null
+++ b/citrondoor/links/__init__.py
@@ -0,0 +1,21 @@
+"""Connections to searchers, to other daemons and to the platform."""
+
+from citrondoor.links._peers import PeerLink
+from citrondoor.links._peers import PeerServer
+from citrondoor.links._peers import PeerSettings
+from citrondoor.links._platform import PlatformClient
+from citrondoor.links._upstream import Call
+from citrondoor.links._upstream import SearcherLink
+from citrondoor.links._upstream import UpstreamCounters
+from citrondoor.links._upstream import UpstreamPool
+
+__all__ = [
+    "Call",
+    "PeerLink",
+    "PeerServer",
+    "PeerSettings",
+    "PlatformClient",
+    "SearcherLink",
+    "UpstreamCounters",
+    "UpstreamPool",
+]
--- /dev/null
+++ b/citrondoor/membership/__init__.py
@@ -0,0 +1,8 @@
+"""Which daemons are alive, and whether this one's own view is current."""
+
+from citrondoor.membership._entries import choose_entries
+from citrondoor.membership._freshness import Freshness
+from citrondoor.membership._members import Members
+from citrondoor.membership._neighbours import choose_neighbours
+
+__all__ = ["Freshness", "Members", "choose_entries", "choose_neighbours"]
--- /dev/null
+++ b/citrondoor/membership/_entries.py
@@ -0,0 +1,39 @@
+"""Chooses the addresses that callers should use."""
+
+import random
+
+from citrondoor import declarations as declared
+from citrondoor.limits import _shares
+from citrondoor.schema import declarations
+
+MAX_ENTRIES = 5
+
+
+def choose_entries(
+    catalogue: declared.Catalogue,
+    live: list[str],
+    near_zone: str,
+    customer: str | None,
+    source: random.Random,
+) -> list[declarations.Vm]:
+    """Returns live entry VMs in service, the one to use first in front.
+
+    Callers in one zone are spread over the VMs of that zone, and over the
+    others when it has none. In a large fleet a known customer is sent to the
+    VMs that hold its shares.
+
+    Args:
+      catalogue: Declarations in force.
+      live: Names of VMs that are believed alive.
+      near_zone: Zone of the caller; empty when unknown.
+      customer: Name of the customer; None when unknown.
+      source: Random source.
+    """
+    names = [name for name in live if catalogue.is_vm_in(name)]
+    if customer is not None and len(names) > _shares.MAX_HOMES:
+        homes = set(_shares.assign_homes(catalogue, customer))
+        names = [n for n in names if n in homes] or names
+    vms = [catalogue.vms[name] for name in names]
+    source.shuffle(vms)
+    vms.sort(key=lambda vm: vm.zone != near_zone)
+    return vms[:MAX_ENTRIES]
--- /dev/null
+++ b/citrondoor/routing/_chooser.py
@@ -0,0 +1,67 @@
+"""Chooses a replica: the better of two taken at random."""
+
+import random
+from collections.abc import Callable
+
+from citrondoor.routing import _observations
+
+
+class Chooser:
+    """Chooses among the replicas of a group of shards of one back end.
+
+    Args:
+      observations: Latencies that this daemon measured.
+      load_of: Returns sub-requests in flight and queued at a searcher.
+      is_usable: Returns whether a searcher may receive new work now.
+      source: Random source.
+    """
+
+    __slots__ = ("_is_usable", "_load_of", "_observations", "_source")
+
+    def __init__(
+        self,
+        observations: _observations.Observations,
+        load_of: Callable[[str], int],
+        is_usable: Callable[[str, int], bool],
+        source: random.Random,
+    ):
+        self._observations = observations
+        self._load_of = load_of
+        self._is_usable = is_usable
+        self._source = source
+
+    @property
+    def observations(self) -> _observations.Observations:
+        """Latencies that this daemon measured."""
+        return self._observations
+
+    def choose(
+        self, replicas: tuple[str, ...], excluded, now: int
+    ) -> str | None:
+        """Returns a replica, or None when none may receive work now."""
+        usable = [
+            name
+            for name in replicas
+            if name not in excluded and self._is_usable(name, now)
+        ]
+        if len(usable) <= 1:
+            return usable[0] if usable else None
+        if len(usable) > 2:
+            usable = self._source.sample(usable, 2)
+        first, second = usable
+        return first if self._is_better(first, second, now) else second
+
+    def is_any_usable(self, replicas: tuple[str, ...], now: int) -> bool:
+        """Returns whether at least one replica may receive work now."""
+        return any(self._is_usable(name, now) for name in replicas)
+
+    def _is_better(self, first: str, second: str, now: int) -> bool:
+        first_cost = self._cost(first, now)
+        second_cost = self._cost(second, now)
+        if first_cost == second_cost:
+            return self._source.random() < 0.5
+        return first_cost < second_cost
+
+    def _cost(self, searcher: str, now: int) -> float:
+        expected = self._observations.expected_ms(searcher, now)
+        return (self._load_of(searcher) + 1) * expected
--- /dev/null
+++ b/citrondoor/runs/_arbiter.py
@@ -0,0 +1,100 @@
+"""Decides whether a non-idempotent request may be sent to its back end."""
+
+import enum
+
+from citrondoor.counting import _ranges
+from citrondoor.schema import messages
+
+# Results are kept this long for callers that ask again, in milliseconds.
+RESULT_TTL_MS = 600_000
+MAX_RESULTS = 100_000
+
+
+class Begun(enum.IntEnum):
+    """What a request with this id has come to."""
+
+    FIRST = 1
+    IN_PROGRESS = 2
+    REPEATED = 3
+    FORGOTTEN = 4
+
+
+class _Result:
+    __slots__ = ("reply", "stored_at")
+
+    def __init__(self, reply: messages.RunReply, stored_at: int):
+        self.reply = reply
+        self.stored_at = stored_at
+
+
+class Arbiter:
+    """Remembers every id that this incarnation has let run.
+
+    Which ids ran is never forgotten; results are, after `RESULT_TTL_MS`.
+    """
+
+    __slots__ = ("_begun", "_in_progress", "_results")
+
+    def __init__(self):
+        self._begun: dict[tuple[str, str], _ranges.RangeSet] = {}
+        self._in_progress: set[tuple[str, str, int]] = set()
+        self._results: dict[tuple[str, str, int], _Result] = {}
+
+    @property
+    def running_count(self) -> int:
+        """Requests that are being executed."""
+        return len(self._in_progress)
+
+    def begin(self, customer: str, request_id: messages.RequestId) -> Begun:
+        """Claims the right to run an id; only `FIRST` may be sent upstream."""
+        key = (customer, request_id.session, request_id.number)
+        if key in self._in_progress:
+            return Begun.IN_PROGRESS
+        if key in self._results:
+            return Begun.REPEATED
+        place = (customer, request_id.session)
+        numbers = self._begun.setdefault(place, _ranges.RangeSet())
+        if not numbers.add(request_id.number):
+            return Begun.FORGOTTEN
+        self._in_progress.add(key)
+        return Begun.FIRST
+
+    def finish(
+        self,
+        customer: str,
+        request_id: messages.RequestId,
+        reply: messages.RunReply,
+        now: int,
+    ) -> None:
+        """Stores the reply of an id that was begun as `FIRST`."""
+        key = (customer, request_id.session, request_id.number)
+        self._in_progress.discard(key)
+        self._results[key] = _Result(reply, now)
+        self._drop_old(now)
+
+    def replace(
+        self,
+        customer: str,
+        request_id: messages.RequestId,
+        reply: messages.RunReply,
+        now: int,
+    ) -> None:
+        """Replaces an unknown outcome by a result that came late."""
+        key = (customer, request_id.session, request_id.number)
+        self._results[key] = _Result(reply, now)
+
+    def reply_of(
+        self, customer: str, request_id: messages.RequestId
+    ) -> messages.RunReply:
+        """Returns the stored reply of an id that is `REPEATED`."""
+        key = (customer, request_id.session, request_id.number)
+        return self._results[key].reply
+
+    def _drop_old(self, now: int) -> None:
+        # Insertion order is order of time: only the front can be old.
+        while self._results:
+            key = next(iter(self._results))
+            is_old = now - self._results[key].stored_at > RESULT_TTL_MS
+            if not is_old and len(self._results) <= MAX_RESULTS:
+                return
+            del self._results[key]
--- /dev/null
+++ b/citrondoor/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Messages, declarations and settings, generated from `schema/*.thrift`."""
--- /dev/null
+++ b/citrondoor/schema/messages.py
@@ -0,0 +1,3 @@
+"""Generated classes of `schema/messages.thrift`."""
+
+from citrondoor.schema.generated.messages.ttypes import *  # noqa: F403
--- /dev/null
+++ b/citrondoor/schema/settings.py
@@ -0,0 +1,3 @@
+"""Generated classes of `schema/settings.thrift`."""
+
+from citrondoor.schema.generated.settings.ttypes import *  # noqa: F403
--- /dev/null
+++ b/citrondoor/telemetry/__init__.py
@@ -0,0 +1,6 @@
+"""Metrics and logs of the daemon."""
+
+from citrondoor.telemetry._logs import configure_logs
+from citrondoor.telemetry._metrics import Metrics
+
+__all__ = ["Metrics", "configure_logs"]
--- /dev/null
+++ b/citrondoor/telemetry/_metrics.py
@@ -0,0 +1,103 @@
+"""OpenTelemetry metrics. Counters are plain integers, read when scraped."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+
+import prometheus_client
+from opentelemetry import metrics as otel_metrics
+from opentelemetry.exporter import prometheus as otel_prometheus
+from opentelemetry.sdk import metrics as sdk_metrics
+from opentelemetry.sdk import resources
+from opentelemetry.sdk.metrics import view as sdk_view
+
+# Upper bounds of the latency buckets, in seconds.
+LATENCY_BOUNDS_S = (
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.035,
+    0.054,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+)
+
+
+class Metrics:
+    """The meter of one daemon.
+
+    Args:
+      vm: Name of this VM.
+      zone: Its zone.
+    """
+
+    __slots__ = ("_latency", "_meter", "_provider", "_registry")
+
+    def __init__(self, vm: str, zone: str):
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = otel_prometheus.PrometheusMetricReader(registry=self._registry)
+        bounds = sdk_view.View(
+            instrument_name="citrondoor.request.duration",
+            aggregation=sdk_view.ExplicitBucketHistogramAggregation(
+                LATENCY_BOUNDS_S
+            ),
+        )
+        resource = resources.Resource.create(
+            {
+                "service.name": "citrondoor",
+                "service.instance.id": vm,
+                "cloud.availability_zone": zone,
+            }
+        )
+        self._provider = sdk_metrics.MeterProvider(
+            [reader], resource=resource, views=[bounds]
+        )
+        self._meter = self._provider.get_meter("citrondoor")
+        self._latency = self._meter.create_histogram(
+            "citrondoor.request.duration",
+            unit="s",
+            description="Time from a request's arrival to its answer.",
+        )
+
+    def add_counter(
+        self, name: str, description: str, read: Callable[[], int]
+    ) -> None:
+        """Adds a counter that is read when the metrics are scraped."""
+        self._meter.create_observable_counter(
+            name, [_observe(read)], description=description
+        )
+
+    def add_gauge(
+        self, name: str, description: str, read: Callable[[], float]
+    ) -> None:
+        """Adds a gauge that is read when the metrics are scraped."""
+        self._meter.create_observable_gauge(
+            name, [_observe(read)], description=description
+        )
+
+    def record_latency(
+        self, seconds: float, backend: str, outcome: str
+    ) -> None:
+        """Adds the latency of one request."""
+        self._latency.record(seconds, {"backend": backend, "outcome": outcome})
+
+    def exposition(self) -> bytes:
+        """Returns all metrics in the Prometheus text format."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Ends the meter."""
+        self._provider.shutdown()
+
+
+def _observe(read: Callable[[], float]):
+    def callback(
+        options: otel_metrics.CallbackOptions,
+    ) -> Iterable[otel_metrics.Observation]:
+        return [otel_metrics.Observation(read())]
+
+    return callback
--- /dev/null
+++ b/schema/messages.thrift
@@ -0,0 +1,339 @@
+// Requests and answers of callers, sub-requests, and messages between daemons.
+namespace py citrondoor.schema.generated.messages
+
+include "declarations.thrift"
+
+enum Ran { NO = 1, UNKNOWN = 2 }
+
+enum RefusalKind {
+  MALFORMED = 1
+  TOO_LARGE = 2
+  TOO_SLOW = 3
+  UNAUTHENTICATED = 4
+  FORBIDDEN_BACKEND = 5
+  TOO_WIDE = 6
+  RATE_EXCEEDED = 7
+  QUANTITY_EXCEEDED = 8
+  DEADLINE_EXPIRED = 9
+  OVERLOADED = 10
+  LEAVING = 11
+  ZONE_OUT = 12
+  NOT_READY = 13
+  UNAVAILABLE = 14
+  NOT_COUNTED = 15
+  ARBITER_GONE = 16
+  IN_PROGRESS = 17
+}
+
+// session.number: numbers of one session are consecutive.
+struct RequestId {
+  1: required string session
+  2: required i64 number
+}
+
+struct SearchRequest {
+  1: required RequestId id
+  2: required string backend
+  3: required string query
+  // 0 lists every hit, up to the contract's max_results.
+  4: required i32 top
+  // Empty means all shards of the snapshot.
+  5: required list<string> shards
+  // Reading of the daemon's clock, ms.
+  6: required i64 deadline_at
+}
+
+struct RunRequest {
+  1: required RequestId id
+  2: required string backend
+  3: required string body
+  4: required i64 deadline_at
+}
+
+struct Hit {
+  1: required double score
+  2: required string record
+  3: required string shard
+}
+
+struct Coverage {
+  1: required i32 shards_answered
+  2: required i32 shards_total
+  3: required i64 records_answered
+  4: required i64 records_total
+  5: required list<string> missing
+}
+
+struct Receipt {
+  1: required bool counted
+  2: required string month
+  3: required RequestId id
+  // The id was counted before; this answer adds nothing to the month's total.
+  4: bool repeated = false
+}
+
+struct SearchAnswer {
+  1: required RequestId id
+  2: required string snapshot
+  3: required list<Hit> hits
+  4: required Coverage coverage
+  5: optional Receipt receipt
+  6: bool truncated = false
+}
+
+struct RunAnswer {
+  1: required RequestId id
+  2: required string result
+  3: optional Receipt receipt
+  4: bool repeated = false
+}
+
+struct Refusal {
+  1: required RefusalKind kind
+  2: required string detail
+  3: required string remedy
+  4: required Ran ran
+  5: optional i32 retry_after_ms
+  6: bool counted = false
+}
+
+// One sub-request to one searcher, for every shard that the query takes from it.
+struct SubRequest {
+  1: required i32 attempt
+  2: required string searcher
+  3: required list<string> shards
+  4: bool hedge = false
+}
+
+struct ShardAnswer {
+  1: required string shard
+  2: required i64 records
+  // Best first; ties by ascending id. Both lists have one element a hit.
+  3: required list<double> scores
+  4: required list<string> ids
+}
+
+enum SubOutcome {
+  ANSWERED = 1
+  SNAPSHOT_MISSING = 2
+  SHED = 3
+  FAILED = 4
+  CANCELLED = 5
+  // Not one byte of it was sent.
+  UNSENT = 6
+}
+
+struct SubAnswer {
+  1: required i32 attempt
+  2: required SubOutcome outcome
+  3: string snapshot = ""
+  4: list<ShardAnswer> shards = []
+  // What a non-idempotent request gave.
+  5: string result = ""
+}
+
+struct Event {
+  1: required i64 wall_ms
+  2: required string vm
+  3: required i64 incarnation
+  4: required string kind
+  5: required string detail
+}
+
+// ---- between daemons ----
+
+enum MemberState { ALIVE = 1, SUSPECT = 2, DEAD = 3, LEAVING = 4 }
+
+struct Member {
+  1: required string vm
+  2: required i64 incarnation
+  // Grows when a member refutes a suspicion.
+  3: required i32 refutation
+  4: required MemberState state
+  // Highest revision of the declared VMs that it has taken.
+  5: required i64 vms_revision
+}
+
+struct Hello {
+  1: required string vm
+  2: required i64 incarnation
+  3: required binary nonce
+}
+
+struct Proof { 1: required binary mac }
+
+// How much concurrent work a searcher bears over all daemons while it warms.
+// Of two, the one with the later cold_since_ms counts, then the higher level.
+struct SearcherLevel {
+  1: required string searcher
+  // Wall reading of when it turned cold.
+  2: required i64 cold_since_ms
+  3: required i32 level
+}
+
+struct Heartbeat {
+  1: required Member sender
+  2: required list<Member> news
+  // Age of the newest reading of the platform that the sender knows of, ms.
+  3: required i64 platform_age_ms
+  4: required list<SearcherLevel> levels
+  // The sender knows no other member yet and wants the whole table.
+  5: required bool joining
+  6: required i64 config_revision
+}
+
+struct HeartbeatAck {
+  1: required Member sender
+  2: required list<Member> news
+  3: required i64 platform_age_ms
+  4: required list<SearcherLevel> levels
+  5: required i64 config_revision
+}
+
+struct ConfigAdvert { 1: required i64 revision }
+struct ConfigRequest { 1: required i64 after }
+struct ConfigDocuments {
+  1: required i64 revision
+  2: required list<declarations.Document> documents
+}
+
+// Asks a home for a share of a customer's rate.
+struct LeaseRequest {
+  1: required string customer
+  2: required double share
+}
+
+struct LeaseRequests {
+  1: required string borrower
+  2: required list<LeaseRequest> requests
+}
+
+// A share of 0 grants nothing.
+struct LeaseGrant {
+  1: required string customer
+  2: required double share
+  3: required double tokens
+  4: required i32 lease_ms
+}
+
+struct LeaseGrants { 1: required list<LeaseGrant> grants }
+
+// Asks the warden of a cold searcher for calls that may be in flight there.
+struct WarmthAsk {
+  1: required string searcher
+  2: required i32 calls
+  // Good answers since the last ask.
+  3: required i32 answered
+}
+
+struct WarmthAsks { 1: required list<WarmthAsk> asks }
+
+struct WarmthGrant {
+  1: required string searcher
+  2: required i32 calls
+  3: required i32 lease_ms
+}
+
+struct WarmthGrants { 1: required list<WarmthGrant> grants }
+
+struct NumberRange {
+  1: required i64 first
+  2: required i64 last
+}
+
+// Counted numbers of one session; ranges are disjoint and ascending.
+struct SessionCount {
+  1: required string customer
+  2: required string month
+  3: required string session
+  4: required list<NumberRange> ranges
+}
+
+// What one VM has taken of a customer's monthly quantity; each only grows.
+struct QuantityUse {
+  1: required string customer
+  2: required string month
+  3: required string vm
+  4: required i64 used
+  // Quantity given to each other VM.
+  5: required map<string, i64> given
+}
+
+struct QuantityRequest {
+  1: required string customer
+  2: required string month
+  3: required string borrower
+  4: required i64 wanted
+}
+
+struct QuantityGrant { 1: required QuantityUse lender_use }
+
+struct CountBatch {
+  1: required list<SessionCount> counts
+  2: required list<QuantityUse> uses
+}
+struct CountAck { 1: required i32 stored }
+
+struct LedgerDigest {
+  // One hash for each bucket of sessions.
+  1: required list<i64> buckets
+}
+struct LedgerRequest { 1: required list<i32> buckets }
+struct LedgerCounts {
+  1: required list<SessionCount> counts
+  2: required list<QuantityUse> uses
+}
+
+struct CustomerTotal {
+  1: required string customer
+  2: required string month
+  3: required i64 requests
+}
+
+struct RunForward {
+  1: required RunRequest request
+  2: required string customer
+  3: required i32 deadline_ms
+}
+
+struct RunReply {
+  1: optional RunAnswer answer
+  2: optional Refusal refusal
+}
+
+struct EventsRequest { 1: required i64 after_wall_ms }
+struct Events { 1: required list<Event> events }
+
+struct Refused { 1: required string reason }
+
+// Exactly one field is set.
+struct Body {
+  1: optional Heartbeat heartbeat
+  2: optional HeartbeatAck heartbeat_ack
+  3: optional ConfigAdvert config_advert
+  4: optional ConfigRequest config_request
+  5: optional ConfigDocuments config_documents
+  6: optional LeaseRequests lease_requests
+  7: optional LeaseGrants lease_grants
+  8: optional CountBatch count_batch
+  9: optional CountAck count_ack
+  10: optional LedgerDigest ledger_digest
+  11: optional LedgerRequest ledger_request
+  12: optional LedgerCounts ledger_counts
+  13: optional RunForward run_forward
+  14: optional RunReply run_reply
+  15: optional EventsRequest events_request
+  16: optional Events events
+  17: optional Refused refused
+  18: optional QuantityRequest quantity_request
+  19: optional QuantityGrant quantity_grant
+  20: optional WarmthAsks warmth_asks
+  21: optional WarmthGrants warmth_grants
+}
+
+struct Envelope {
+  1: required i64 id
+  // 0 in a request.
+  2: required i64 reply_to
+  3: required Body body
+}
