--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -16,6 +16,7 @@
 from citrondoor import limits
 from citrondoor import links
 from citrondoor import membership
+from citrondoor import rendezvous
 from citrondoor import runs
 from citrondoor import telemetry
 from citrondoor import timeline
@@ -25,6 +26,7 @@
 from citrondoor.schema import settings as schema_settings
 
 TICK_MS = 100
+ATTEMPT_BITS = 20
 JOIN_POLL_MS = 50
 # A daemon that hears of no peer in this time takes itself for the first one.
 LONELY_MS = 2000
@@ -205,7 +207,11 @@
             self._view, self._peering, self._warmth
         )
         self._search_engine = engine.SearchEngine(
-            self._view, self._pool, settings.upstreams, self._source
+            self._view,
+            self._pool,
+            settings.upstreams,
+            self._source,
+            self._first_attempt(),
         )
         self._run_engine = engine.RunEngine(
             self._view,
@@ -226,6 +232,13 @@
             self._source,
         )
 
+    def _first_attempt(self) -> int:
+        # The high 32 bits differ between incarnations; with the low bits the
+        # number still fits an exact JSON number.
+        name = f"{self._settings.vm}/{self._incarnation}"
+        high = rendezvous.score("attempt", name) >> 32
+        return high << ATTEMPT_BITS
+
     def _build_front(self) -> None:
         settings = self._settings
         metrics = telemetry.Metrics(settings.vm, settings.zone)
--- a/citrondoor/engine/_search.py
+++ b/citrondoor/engine/_search.py
@@ -206,6 +206,8 @@
       pool: Links to searchers.
       settings: Hedging.
       source: Random source.
+      first_attempt: First number of a sub-request; those of daemons are far
+        apart.
     """
 
     __slots__ = (
@@ -225,6 +227,7 @@
         pool: links.UpstreamPool,
         settings: schema_settings.UpstreamSettings,
         source: random.Random,
+        first_attempt: int,
     ):
         self.view = view
         self.pool = pool
@@ -232,7 +235,7 @@
         self._source = source
         self._backends: dict[str, _Backend] = {}
         self._budgets: dict[str, routing.Budget] = {}
-        self._attempt_numbers = itertools.count(1)
+        self._attempt_numbers = itertools.count(first_attempt)
         self.counters = QueryCounters()
 
     @property
--- /dev/null
+++ b/citrondoor/standins/rig.py
@@ -0,0 +1,257 @@
+"""Runs a whole deployment as processes on loopback, for tests and examples."""
+
+import contextlib
+import hashlib
+import pathlib
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+import orjson
+import yaml
+
+from citrondoor import declarations as declared
+
+FLEET_KEY = "00112233445566778899aabbccddeeff"
+OPERATOR_KEY = "operator-demo-key"
+PLATFORM_PORT = 20900
+SEARCHER_CONTROL_PORT = 20910
+START_TIMEOUT_S = 20.0
+POLL_S = 0.05
+HTTP_TIMEOUT_S = 5.0
+
+
+class Rig:
+    """A platform, searchers and daemons.
+
+    Args:
+      directory: Declarations to publish.
+      searcher_processes: Processes that share the searchers.
+      daemon_command: Command of a daemon, before `--settings`.
+      overrides: Settings by section that replace the defaults.
+    """
+
+    __slots__ = (
+        "_daemon_command",
+        "_directory",
+        "_home",
+        "_overrides",
+        "_searcher_processes",
+        "_vms",
+        "daemons",
+        "processes",
+    )
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        searcher_processes: int = 2,
+        daemon_command: list[str] | None = None,
+        overrides: dict | None = None,
+    ):
+        self._directory = directory
+        self._searcher_processes = searcher_processes
+        self._daemon_command = daemon_command or [
+            sys.executable,
+            "-m",
+            "citrondoor.daemon.main",
+        ]
+        self._overrides = overrides or {}
+        self._home = pathlib.Path(tempfile.mkdtemp(prefix="citrondoor-rig-"))
+        self.processes: list[subprocess.Popen] = []
+        self.daemons: dict[str, subprocess.Popen] = {}
+        catalogue = declared.Catalogue(declared.read_directory(directory))
+        self._vms = catalogue.vms
+
+    @property
+    def home(self) -> pathlib.Path:
+        """Directory of settings and logs; removed by `stop`."""
+        return self._home
+
+    @property
+    def vm_names(self) -> list[str]:
+        """Names of the entry VMs."""
+        return list(self._vms)
+
+    def url_of(self, vm: str) -> str:
+        """Returns the URL of an entry VM."""
+        found = self._vms[vm]
+        return f"http://{found.address}:{found.http_port}"
+
+    def start(self) -> None:
+        """Starts everything and waits until all daemons serve."""
+        module = [sys.executable, "-m", "citrondoor.standins.main"]
+        self._spawn(
+            "platform", [*module, "platform", "--port", str(PLATFORM_PORT)]
+        )
+        for part in range(self._searcher_processes):
+            command = [
+                *module,
+                "searchers",
+                str(self._directory),
+                "--control-port",
+                str(SEARCHER_CONTROL_PORT + part),
+                "--part",
+                str(part),
+                "--parts",
+                str(self._searcher_processes),
+            ]
+            self._spawn(f"searchers-{part}", command)
+        self._wait_for(lambda: self.control_platform({}))
+        self.publish_all()
+        self.set_vm_list(self.vm_names, [])
+        for part in range(self._searcher_processes):
+            self._wait_for(lambda part=part: self._tallies_of(part))
+        for vm in self.vm_names:
+            self.start_daemon(vm)
+        for vm in self.vm_names:
+            self.wait_ready(vm)
+
+    def stop(self) -> None:
+        """Ends everything that was started and removes its files."""
+        for process in [*self.daemons.values(), *self.processes]:
+            if process.poll() is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in [*self.daemons.values(), *self.processes]:
+            process.wait()
+        shutil.rmtree(self._home, ignore_errors=True)
+
+    def start_daemon(self, vm: str) -> None:
+        """Starts the daemon of a VM."""
+        path = self._home / f"{vm}.yaml"
+        path.write_text(yaml.safe_dump(self._settings(vm)))
+        command = [*self._daemon_command, "--settings", str(path)]
+        with (self._home / f"{vm}.log").open("ab") as log:
+            self.daemons[vm] = subprocess.Popen(command, stderr=log, stdout=log)
+
+    def wait_ready(self, vm: str) -> None:
+        """Waits until a daemon serves."""
+        self._wait_for(lambda: self.is_ready(vm))
+
+    def is_ready(self, vm: str) -> bool:
+        """Returns whether a daemon says that it serves."""
+        try:
+            request = urllib.request.Request(f"{self.url_of(vm)}/readyz")
+            with urllib.request.urlopen(request, timeout=HTTP_TIMEOUT_S):
+                return True
+        except OSError:
+            return False
+
+    def publish(self, key: str, text: str) -> int:
+        """Publishes a value; returns its revision."""
+        url = f"{_platform_url()}/operators/values/{key}"
+        return _call("PUT", url, text.encode())["revision"]
+
+    def publish_all(self) -> None:
+        """Publishes every declaration."""
+        # Zones first: other documents name them.
+        paths = sorted(self._directory.rglob("*.yaml"))
+        order = {"zones": 0, "vms": 1, "backends": 2, "snapshots": 3}
+        keyed = [
+            (str(p.relative_to(self._directory).with_suffix("")), p)
+            for p in paths
+        ]
+        keyed.sort(key=lambda k: (order.get(k[0].split("/")[0], 4), k[0]))
+        for key, path in keyed:
+            self.publish(key, path.read_text())
+
+    def publish_zone(self, zone: str, state: str) -> int:
+        """Takes a zone out or brings it back; keeps the others' state."""
+        path = self._home / "zones.yaml"
+        if not path.exists():
+            path.write_text((self._directory / "zones.yaml").read_text())
+        content = yaml.safe_load(path.read_text())
+        for entry in content["zones"]:
+            if entry["name"] == zone:
+                entry["state"] = state
+        text = yaml.safe_dump(content)
+        path.write_text(text)
+        return self.publish("zones", text)
+
+    def set_vm_list(self, live: list[str], leaving: list[str]) -> None:
+        """Sets the platform's list of VMs."""
+        body = orjson.dumps({"live": live, "leaving": leaving})
+        _call("PUT", f"{_platform_url()}/operators/vms", body)
+
+    def control_platform(self, content: dict) -> dict:
+        """Makes the platform fail or recover; returns its counters."""
+        body = orjson.dumps(content)
+        return _call("POST", f"{_platform_url()}/operators/control", body)
+
+    def change_searchers(self, content: dict) -> None:
+        """Changes the behaviour of searchers."""
+        for part in range(self._searcher_processes):
+            url = f"http://127.0.0.1:{SEARCHER_CONTROL_PORT + part}/change"
+            _call("POST", url, orjson.dumps(content))
+
+    def tallies(self) -> dict[str, dict]:
+        """Returns what all searchers have seen."""
+        merged: dict[str, dict] = {}
+        for part in range(self._searcher_processes):
+            merged.update(self._tallies_of(part))
+        return merged
+
+    def ask_daemon(self, vm: str, path: str) -> dict:
+        """Returns the JSON body of an operators' route."""
+        return _call("GET", self.url_of(vm) + path, None)
+
+    def _tallies_of(self, part: int) -> dict:
+        url = f"http://127.0.0.1:{SEARCHER_CONTROL_PORT + part}/tallies"
+        return _call("GET", url, None)
+
+    def _settings(self, vm: str) -> dict:
+        found = self._vms[vm]
+        seeds = [
+            f"{other.address}:{other.peer_port}"
+            for other in self._vms.values()
+            if other.name != vm
+        ]
+        settings = {
+            "vm": vm,
+            "zone": found.zone,
+            "address": found.address,
+            "http_port": found.http_port,
+            "peer_port": found.peer_port,
+            "platform": {"url": _platform_url()},
+            "peers": {"key": FLEET_KEY},
+            "seeds": seeds,
+            "operator_key_digest": hashlib.sha256(
+                OPERATOR_KEY.encode()
+            ).hexdigest(),
+        }
+        for section, values in self._overrides.items():
+            settings.setdefault(section, {}).update(values)
+        return settings
+
+    def _spawn(self, name: str, command: list[str]) -> None:
+        with (self._home / f"{name}.log").open("ab") as log:
+            self.processes.append(
+                subprocess.Popen(command, stderr=log, stdout=log)
+            )
+
+    def _wait_for(self, probe) -> None:
+        until = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < until:
+            with contextlib.suppress(OSError):
+                if probe():
+                    return
+            time.sleep(POLL_S)
+        raise TimeoutError(f"not ready after {START_TIMEOUT_S} s: {self._home}")
+
+
+def _platform_url() -> str:
+    return f"http://127.0.0.1:{PLATFORM_PORT}"
+
+
+def _call(method: str, url: str, body: bytes | None) -> dict:
+    request = urllib.request.Request(url, data=body, method=method)
+    request.add_header("authorization", f"Bearer {OPERATOR_KEY}")
+    with urllib.request.urlopen(request, timeout=HTTP_TIMEOUT_S) as response:
+        return orjson.loads(response.read())
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -99,7 +99,8 @@
 
 // One sub-request to one searcher, for every shard that the query takes from it.
 struct SubRequest {
-  1: required i32 attempt
+  // Number that no other call of any daemon has at this time.
+  1: required i64 attempt
   2: required string searcher
   3: required list<string> shards
   4: bool hedge = false
@@ -124,7 +125,8 @@
 }
 
 struct SubAnswer {
-  1: required i32 attempt
+  // Number that no other call of any daemon has at this time.
+  1: required i64 attempt
   2: required SubOutcome outcome
   3: string snapshot = ""
   4: list<ShardAnswer> shards = []
