Add a randomised soak on real processes; spread searcher levels as news

Cause: with all searchers cold each heartbeat carried every level, about 3 KB. Change: levels are news that are sent a bounded number of times; a joining daemon gets the whole table. The soak crashes, pauses, partitions and restarts daemons, takes zones out, changes contracts, makes the platform stale or down and searchers cold, slow or lost; callers check each answer against a direct scan.

--- a/citrondoor/engine/_peering.py
+++ b/citrondoor/engine/_peering.py
@@ -205,7 +205,7 @@
             sender=members.sender(),
             news=members.take_news(),
             platform_age_ms=self.platform_age_ms(asked_at),
-            levels=self._warmth.levels(),
+            levels=self._warmth.take_news(),
             joining=len(members.table) == 1,
             config_revision=self._revision_of(),
         )
@@ -260,12 +260,15 @@
         members.on_heard(heartbeat.sender, heartbeat.news, now)
         self._warmth.merge(heartbeat.levels, now)
         self._take_platform_age(heartbeat.platform_age_ms, now)
-        news = members.table if heartbeat.joining else members.take_news()
+        is_joining = heartbeat.joining
+        news = members.table if is_joining else members.take_news()
+        warmth = self._warmth
+        levels = warmth.all_levels() if is_joining else warmth.take_news()
         return messages.HeartbeatAck(
             sender=members.sender(),
             news=news,
             platform_age_ms=self.platform_age_ms(now),
-            levels=self._warmth.levels(),
+            levels=levels,
             config_revision=self._revision_of(),
         )
 
--- a/citrondoor/limits/_warmth.py
+++ b/citrondoor/limits/_warmth.py
@@ -16,6 +16,10 @@
 # Good answers at one level before the warden raises it, for each call of it.
 ANSWERS_PER_LEVEL = 6
 UNLIMITED = 1 << 30
+# Levels sent with one heartbeat, and how often each change is sent for each
+# doubling of the fleet.
+MAX_NEWS = 16
+SENDS_PER_DOUBLING = 4
 # A searcher that no query chose for this long is not asked for any more.
 WANT_MS = 1000
 
@@ -60,7 +64,7 @@
       vm: Name of this VM.
     """
 
-    __slots__ = ("_cold", "_full_levels", "_members", "_vm", "_warm")
+    __slots__ = ("_cold", "_full_levels", "_members", "_news", "_vm", "_warm")
 
     def __init__(self, vm: str):
         self._vm = vm
@@ -69,6 +73,8 @@
         self._warm: dict[str, int] = {}
         self._full_levels: dict[str, int] = {}
         self._members: list[str] = [vm]
+        # How often each changed level is still to be sent.
+        self._news: dict[str, int] = {}
 
     @property
     def cold_count(self) -> int:
@@ -108,6 +114,7 @@
         self._set_warden(searcher, cold, now)
         self._cold[searcher] = cold
         self._warm.pop(searcher, None)
+        self._spread(searcher)
 
     def allowed(self, searcher: str, now: int) -> int:
         """Returns how many calls this daemon may have there at once."""
@@ -161,18 +168,22 @@
             cold.calls = grant.calls
             cold.calls_until = asked_at + grant.lease_ms
 
-    def levels(self) -> list[messages.SearcherLevel]:
-        """Returns the levels to spread."""
-        cold = [
-            messages.SearcherLevel(name, state.since_ms, state.level)
-            for name, state in self._cold.items()
+    def all_levels(self) -> list[messages.SearcherLevel]:
+        """Returns every level, for a daemon that joins."""
+        return [self._level_message(n) for n in [*self._cold, *self._warm]]
+
+    def take_news(self) -> list[messages.SearcherLevel]:
+        """Returns changed levels for one heartbeat, and counts them as sent."""
+        chosen = sorted(self._news, key=self._news.get, reverse=True)[:MAX_NEWS]
+        for name in chosen:
+            self._news[name] -= 1
+            if self._news[name] <= 0:
+                del self._news[name]
+        return [
+            self._level_message(name)
+            for name in chosen
+            if name in self._cold or name in self._warm
         ]
-        warm = [
-            messages.SearcherLevel(name, since_ms, self._full_levels[name])
-            for name, since_ms in self._warm.items()
-            if name in self._full_levels
-        ]
-        return cold + warm
 
     def merge(self, levels: list[messages.SearcherLevel], now: int) -> None:
         """Takes levels of other daemons; the later and higher one counts."""
@@ -196,6 +207,17 @@
         if cold is not None and other.level > cold.level:
             self._raise_to(name, cold, other.level)
 
+    def _level_message(self, searcher: str) -> messages.SearcherLevel:
+        cold = self._cold.get(searcher)
+        if cold is not None:
+            return messages.SearcherLevel(searcher, cold.since_ms, cold.level)
+        full = self._full_levels.get(searcher, START_LEVEL + 1)
+        return messages.SearcherLevel(searcher, self._warm[searcher], full)
+
+    def _spread(self, searcher: str) -> None:
+        doublings = max(1, len(self._members).bit_length())
+        self._news[searcher] = SENDS_PER_DOUBLING * doublings
+
     def _may_grant(self, cold: _Cold, now: int) -> bool:
         # Leases of the warden before must have ended.
         ready_at = (
@@ -211,6 +233,7 @@
     def _raise_to(self, searcher: str, cold: _Cold, level: int) -> None:
         cold.level = level
         cold.reported = 0
+        self._spread(searcher)
         if level >= cold.full_level:
             del self._cold[searcher]
             self._warm[searcher] = cold.since_ms
--- a/citrondoor/standins/main.py
+++ b/citrondoor/standins/main.py
@@ -38,19 +38,32 @@
 
 @main.command()
 @click.argument("directory", type=click.Path(path_type=pathlib.Path))
+@click.option("--address", default="127.0.0.1", help="For the control port.")
 @click.option("--control-port", type=int, required=True)
 @click.option("--seed", type=int, default=1)
 @click.option("--part", type=int, default=0, help="Which part to serve.")
 @click.option("--parts", type=int, default=1, help="Processes that share them.")
 def searchers(
-    directory: pathlib.Path, control_port: int, seed: int, part: int, parts: int
+    directory: pathlib.Path,
+    address: str,
+    control_port: int,
+    seed: int,
+    part: int,
+    parts: int,
 ) -> None:
     """Serves the searchers that a directory of declarations names."""
-    asyncio.run(_serve_searchers(directory, control_port, seed, part, parts))
+    asyncio.run(
+        _serve_searchers(directory, address, control_port, seed, part, parts)
+    )
 
 
 async def _serve_searchers(
-    directory: pathlib.Path, control_port: int, seed: int, part: int, parts: int
+    directory: pathlib.Path,
+    address: str,
+    control_port: int,
+    seed: int,
+    part: int,
+    parts: int,
 ) -> None:
     catalogue = declared.Catalogue(declared.read_directory(directory))
     served = {}
@@ -63,7 +76,7 @@
             await searcher_module.listen(made, searcher.address, searcher.port)
     config = uvicorn.Config(
         _control_app(served),
-        host="127.0.0.1",
+        host=address,
         port=control_port,
         loop="asyncio",
         lifespan="off",
--- a/citrondoor/standins/rig.py
+++ b/citrondoor/standins/rig.py
@@ -19,6 +19,7 @@
 
 FLEET_KEY = "00112233445566778899aabbccddeeff"
 OPERATOR_KEY = "operator-demo-key"
+DECLARED_ADDRESS = "127.0.0.1"
 PLATFORM_PORT = 20900
 SEARCHER_CONTROL_PORT = 20910
 START_TIMEOUT_S = 20.0
@@ -34,13 +35,16 @@
       searcher_processes: Processes that share the searchers.
       daemon_command: Command of a daemon, before `--settings`.
       overrides: Settings by section that replace the defaults.
+      address: Loopback number on which everything listens.
     """
 
     __slots__ = (
+        "_address",
         "_daemon_command",
         "_directory",
         "_home",
         "_overrides",
+        "_searcher_names",
         "_searcher_processes",
         "_vms",
         "daemons",
@@ -53,8 +57,9 @@
         searcher_processes: int = 2,
         daemon_command: list[str] | None = None,
         overrides: dict | None = None,
+        address: str = DECLARED_ADDRESS,
     ):
-        self._directory = directory
+        self._address = address
         self._searcher_processes = searcher_processes
         self._daemon_command = daemon_command or [
             sys.executable,
@@ -65,8 +70,11 @@
         self._home = pathlib.Path(tempfile.mkdtemp(prefix="citrondoor-rig-"))
         self.processes: list[subprocess.Popen] = []
         self.daemons: dict[str, subprocess.Popen] = {}
-        catalogue = declared.Catalogue(declared.read_directory(directory))
+        self._directory = self._home / "declarations"
+        _copy_declarations(directory, self._directory, address)
+        catalogue = declared.Catalogue(declared.read_directory(self._directory))
         self._vms = catalogue.vms
+        self._searcher_names = list(catalogue.searchers)
 
     @property
     def home(self) -> pathlib.Path:
@@ -78,6 +86,21 @@
         """Names of the entry VMs."""
         return list(self._vms)
 
+    @property
+    def vms(self) -> list:
+        """Declarations of the entry VMs."""
+        return list(self._vms.values())
+
+    @property
+    def peer_places(self) -> list[str]:
+        """`ADDRESS:PORT` of every daemon for its peers."""
+        return [f"{vm.address}:{vm.peer_port}" for vm in self.vms]
+
+    @property
+    def searcher_names(self) -> list[str]:
+        """Names of all searchers."""
+        return self._searcher_names
+
     def url_of(self, vm: str) -> str:
         """Returns the URL of an entry VM."""
         found = self._vms[vm]
@@ -94,6 +117,8 @@
                 *module,
                 "searchers",
                 str(self._directory),
+                "--address",
+                self._address,
                 "--control-port",
                 str(SEARCHER_CONTROL_PORT + part),
                 "--part",
@@ -135,6 +160,12 @@
         """Waits until a daemon serves."""
         self._wait_for(lambda: self.is_ready(vm))
 
+    def wait_ready_or_out(self, vm: str) -> None:
+        """Waits until a daemon serves, or says that it is out of service."""
+        self._wait_for(
+            lambda: self.ask_daemon(vm, "/v1/status")["state"] == "serving"
+        )
+
     def is_ready(self, vm: str) -> bool:
         """Returns whether a daemon says that it serves."""
         try:
@@ -146,7 +177,7 @@
 
     def publish(self, key: str, text: str) -> int:
         """Publishes a value; returns its revision."""
-        url = f"{_platform_url()}/operators/values/{key}"
+        url = f"{self._platform_url()}/operators/values/{key}"
         return _call("PUT", url, text.encode())["revision"]
 
     def publish_all(self) -> None:
@@ -178,17 +209,17 @@
     def set_vm_list(self, live: list[str], leaving: list[str]) -> None:
         """Sets the platform's list of VMs."""
         body = orjson.dumps({"live": live, "leaving": leaving})
-        _call("PUT", f"{_platform_url()}/operators/vms", body)
+        _call("PUT", f"{self._platform_url()}/operators/vms", body)
 
     def control_platform(self, content: dict) -> dict:
         """Makes the platform fail or recover; returns its counters."""
         body = orjson.dumps(content)
-        return _call("POST", f"{_platform_url()}/operators/control", body)
+        return _call("POST", f"{self._platform_url()}/operators/control", body)
 
     def change_searchers(self, content: dict) -> None:
         """Changes the behaviour of searchers."""
         for part in range(self._searcher_processes):
-            url = f"http://127.0.0.1:{SEARCHER_CONTROL_PORT + part}/change"
+            url = f"{self._control_url(part)}/change"
             _call("POST", url, orjson.dumps(content))
 
     def tallies(self) -> dict[str, dict]:
@@ -203,8 +234,13 @@
         return _call("GET", self.url_of(vm) + path, None)
 
     def _tallies_of(self, part: int) -> dict:
-        url = f"http://127.0.0.1:{SEARCHER_CONTROL_PORT + part}/tallies"
-        return _call("GET", url, None)
+        return _call("GET", f"{self._control_url(part)}/tallies", None)
+
+    def _control_url(self, part: int) -> str:
+        return f"http://{self._address}:{SEARCHER_CONTROL_PORT + part}"
+
+    def _platform_url(self) -> str:
+        return f"http://{self._address}:{PLATFORM_PORT}"
 
     def _settings(self, vm: str) -> dict:
         found = self._vms[vm]
@@ -219,7 +255,7 @@
             "address": found.address,
             "http_port": found.http_port,
             "peer_port": found.peer_port,
-            "platform": {"url": _platform_url()},
+            "platform": {"url": self._platform_url()},
             "peers": {"key": FLEET_KEY},
             "seeds": seeds,
             "operator_key_digest": hashlib.sha256(
@@ -246,8 +282,14 @@
         raise TimeoutError(f"not ready after {START_TIMEOUT_S} s: {self._home}")
 
 
-def _platform_url() -> str:
-    return f"http://127.0.0.1:{PLATFORM_PORT}"
+def _copy_declarations(
+    source: pathlib.Path, target: pathlib.Path, address: str
+) -> None:
+    for path in source.rglob("*.yaml"):
+        copy = target / path.relative_to(source)
+        copy.parent.mkdir(parents=True, exist_ok=True)
+        text = path.read_text()
+        copy.write_text(text.replace(DECLARED_ADDRESS, address))
 
 
 def _call(method: str, url: str, body: bytes | None) -> dict:
--- /dev/null
+++ b/citrondoor/standins/soak.py
@@ -0,0 +1,476 @@
+"""A long randomised run on real processes, with faults alone and together.
+
+Callers check every answer against a direct scan; at the end the counts are
+compared with the receipts and the runs with what the searchers executed.
+"""
+
+import asyncio
+import collections
+import pathlib
+import random
+import signal
+import sys
+import time
+
+import orjson
+import yaml
+
+from citrondoor import clock as clocks
+from citrondoor import declarations as declared
+from citrondoor.standins import client
+from citrondoor.standins import data
+from citrondoor.standins import faulty_daemon
+from citrondoor.standins import rig
+from citrondoor.standins import verify
+
+FAULT_EVERY_S = (1.0, 6.0)
+# Callers send the same id again for this long before they give up on it.
+PATIENCE_MS = 90_000
+SETTLE_S = 6.0
+SEARCHES_PER_S = 12.0
+RUNS_PER_S = 2.0
+
+
+class SoakReport:
+    """What a soak has seen.
+
+    Args:
+      seed: Seed of the run.
+    """
+
+    __slots__ = (
+        "answers",
+        "counted",
+        "faults",
+        "latencies_ms",
+        "outcomes",
+        "partial",
+        "problems",
+        "receipts",
+        "repeated_runs",
+        "run_outcomes",
+        "runs_answered",
+        "seed",
+        "unresolved",
+    )
+
+    def __init__(self, seed: int):
+        self.seed = seed
+        self.answers = 0
+        self.partial = 0
+        self.receipts: collections.Counter[str] = collections.Counter()
+        self.counted: dict[str, int] = {}
+        self.unresolved: collections.Counter[str] = collections.Counter()
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self.run_outcomes: dict[str, str] = {}
+        self.runs_answered = 0
+        self.repeated_runs = 0
+        self.faults: collections.Counter[str] = collections.Counter()
+        self.latencies_ms: list[float] = []
+        self.problems: list[str] = []
+
+    def content(self) -> dict:
+        """Returns the report as JSON content."""
+        ordered = sorted(self.latencies_ms) or [0.0]
+        return {
+            "seed": self.seed,
+            "answers": self.answers,
+            "partial_answers": self.partial,
+            "receipts": dict(self.receipts),
+            "counted": self.counted,
+            "unresolved": dict(self.unresolved),
+            "outcomes": dict(self.outcomes),
+            "runs_answered": self.runs_answered,
+            "repeated_runs": self.repeated_runs,
+            "faults": dict(self.faults),
+            "p50_ms": ordered[len(ordered) // 2],
+            "p99_ms": ordered[len(ordered) * 99 // 100],
+            "problems": self.problems[:20],
+            "problem_count": len(self.problems),
+        }
+
+
+class Soak:
+    """One randomised run.
+
+    Args:
+      directory: Declarations of the deployment.
+      seed: Seed of load and faults.
+      minutes: Length of the run.
+      address: Loopback number to run on.
+    """
+
+    __slots__ = (
+        "_contracts_text",
+        "_directory",
+        "_ends_at",
+        "_log",
+        "_minutes",
+        "_out_zones",
+        "_report",
+        "_rig",
+        "_source",
+        "_tasks",
+        "_verifier",
+        "_vms_down",
+    )
+
+    def __init__(
+        self, directory: pathlib.Path, seed: int, minutes: float, address: str
+    ):
+        self._directory = directory
+        self._minutes = minutes
+        self._source = random.Random(seed)
+        self._report = SoakReport(seed)
+        command = [sys.executable, "-m", "citrondoor.standins.faulty_daemon"]
+        self._rig = rig.Rig(
+            directory, 1, daemon_command=command, address=address
+        )
+        catalogue = declared.Catalogue(declared.read_directory(directory))
+        self._verifier = verify.Verifier(catalogue)
+        self._out_zones: set[str] = set()
+        self._vms_down: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._contracts_text = (
+            directory / "contracts" / "customers.yaml"
+        ).read_text()
+        self._ends_at = 0.0
+
+    def run(self) -> SoakReport:
+        """Runs load and faults, then compares; returns the report."""
+        try:
+            self._rig.start()
+            asyncio.run(self._run())
+        finally:
+            self._rig.stop()
+        return self._report
+
+    async def _run(self) -> None:
+        self._ends_at = time.monotonic() + self._minutes * 60
+        callers = self._make_callers()
+        loads = [
+            asyncio.create_task(self._load(caller, name, keys))
+            for caller, name, keys in callers
+        ]
+        await self._break_things()
+        await self._mend_everything()
+        await asyncio.gather(*loads)
+        if self._tasks:
+            await asyncio.wait(list(self._tasks))
+        await asyncio.sleep(SETTLE_S)
+        self._compare()
+        for caller, _, _ in callers:
+            await caller.close()
+
+    def _make_callers(self) -> list[tuple]:
+        content = yaml.safe_load(self._contracts_text)
+        seeds = [self._rig.url_of(vm) for vm in self._rig.vm_names]
+        keys = {
+            "altan-sprinkler": "altan-demo-key",
+            "gobi-fire-safety": "gobi-demo-key",
+            "trade-buyers": "trade-demo-key",
+            "shop-customers": "shop-demo-key",
+        }
+        callers = []
+        for contract in content["contracts"]:
+            customer = contract["customer"]
+            for number in range(2):
+                source = random.Random(
+                    f"{self._report.seed}/{customer}{number}"
+                )
+                caller = client.Caller(seeds, keys[customer], "", source)
+                callers.append((caller, customer, contract["backends"]))
+        return callers
+
+    async def _load(
+        self, caller: client.Caller, customer: str, backends: list[str]
+    ) -> None:
+        catalogue = declared.Catalogue(declared.read_directory(self._directory))
+        searches = [b for b in backends if b in catalogue.snapshots]
+        runs = [b for b in backends if b not in catalogue.snapshots]
+        source = random.Random(f"{self._report.seed}/load/{customer}")
+        rate = SEARCHES_PER_S + RUNS_PER_S
+        while time.monotonic() < self._ends_at:
+            await asyncio.sleep(source.expovariate(rate))
+            if source.random() < RUNS_PER_S / rate:
+                work = self._run_once(caller, customer, source.choice(runs))
+            else:
+                work = self._search_once(
+                    caller, customer, source.choice(searches), source
+                )
+            task = asyncio.create_task(work)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _search_once(
+        self,
+        caller: client.Caller,
+        customer: str,
+        backend: str,
+        source: random.Random,
+    ) -> None:
+        query = " ".join(source.sample(data.WORDS, 2))
+        top = source.choice((0, 1, 10, 25))
+        outcome = await caller.search(
+            backend, query, 1500, top, patience_ms=PATIENCE_MS
+        )
+        self._note(customer, outcome)
+        if outcome.status != 200:
+            return
+        self._report.answers += 1
+        self._report.latencies_ms.append(outcome.latency_ms)
+        self._report.partial += bool(outcome.content["coverage"]["missing"])
+        problem = self._verifier.check(backend, query, top, outcome.content)
+        if outcome.content["id"] != outcome.request_id:
+            problem = f"the answer is for {outcome.content['id']!r}"
+        if problem is not None:
+            self._report.problems.append(f"{outcome.request_id}: {problem}")
+
+    async def _run_once(
+        self, caller: client.Caller, customer: str, backend: str
+    ) -> None:
+        outcome = await caller.run(backend, "notice", patience_ms=PATIENCE_MS)
+        self._note(customer, outcome)
+        kind = "answered"
+        if outcome.status != 200:
+            kind = f"ran {outcome.content.get('ran', 'unknown')}"
+        self._report.run_outcomes[outcome.request_id] = kind
+        if outcome.content.get("refused") == "arbiter_gone":
+            await caller.renew_session()
+
+    def _note(self, customer: str, outcome: client.Outcome) -> None:
+        kind = outcome.content.get("refused", "no answer")
+        if outcome.status == 200:
+            kind = "answered"
+        self._report.outcomes[kind] += 1
+        if outcome.is_counted:
+            self._report.receipts[customer] += 1
+        else:
+            self._report.unresolved[customer] += 1
+
+    async def _break_things(self) -> None:
+        faults = [
+            self._crash,
+            self._crash,
+            self._pause,
+            self._restart,
+            self._partition,
+            self._zone_cycle,
+            self._change_contract,
+            self._platform_down,
+            self._platform_stale,
+            self._searchers_cold,
+            self._searchers_straggle,
+            self._snapshot_missing,
+            self._searchers_down,
+        ]
+        while time.monotonic() < self._ends_at:
+            await asyncio.sleep(self._source.uniform(*FAULT_EVERY_S))
+            fault = self._source.choice(faults)
+            task = asyncio.create_task(fault())
+            self._tasks.add(task)
+            task.add_done_callback(self._on_fault_end)
+
+    def _on_fault_end(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._report.problems.append(f"fault failed: {task.exception()!r}")
+
+    def _choose_vm(self) -> str | None:
+        # Two of five may be away at once: any count stands on three VMs only
+        # while their zones are there.
+        if self._vms_down:
+            return None
+        vm = self._source.choice(self._rig.vm_names)
+        self._vms_down.add(vm)
+        return vm
+
+    def _note_fault(self, kind: str) -> None:
+        self._report.faults[kind] += 1
+
+    async def _crash(self) -> None:
+        vm = self._choose_vm()
+        if vm is None:
+            return
+        self._note_fault("crash")
+        process = self._rig.daemons[vm]
+        process.kill()
+        await asyncio.to_thread(process.wait)
+        await asyncio.sleep(self._source.uniform(0.2, 5))
+        await self._bring_back(vm)
+
+    async def _bring_back(self, vm: str) -> None:
+        self._rig.start_daemon(vm)
+        await asyncio.to_thread(self._rig.wait_ready_or_out, vm)
+        # Counts that stood on the lost VM are copied again by then.
+        await asyncio.sleep(2.0)
+        self._vms_down.discard(vm)
+
+    async def _pause(self) -> None:
+        vm = self._choose_vm()
+        if vm is None:
+            return
+        self._note_fault("pause")
+        process = self._rig.daemons[vm]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._source.uniform(0.5, 6))
+        process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(1.0)
+        self._vms_down.discard(vm)
+
+    async def _restart(self) -> None:
+        vm = self._choose_vm()
+        if vm is None:
+            return
+        self._note_fault("restart")
+        process = self._rig.daemons[vm]
+        process.send_signal(signal.SIGTERM)
+        status = await asyncio.to_thread(process.wait)
+        if status != 0:
+            self._report.problems.append(f"{vm} ended with status {status}")
+        await self._bring_back(vm)
+
+    async def _partition(self) -> None:
+        if self._vms_down:
+            return
+        self._note_fault("partition")
+        names = self._rig.vm_names
+        places = self._source.sample(self._rig.peer_places, len(names))
+        self._vms_down.update(names)
+        path = self._rig.home / faulty_daemon.PARTITION_FILE
+        path.write_bytes(orjson.dumps([places[:2], places[2:]]))
+        await asyncio.sleep(self._source.uniform(1, 8))
+        path.unlink()
+        await asyncio.sleep(3.0)
+        self._vms_down.clear()
+
+    async def _zone_cycle(self) -> None:
+        zones = [z.zone for z in self._rig.vms]
+        zone = self._source.choice(zones)
+        if self._out_zones:
+            return
+        self._out_zones.add(zone)
+        self._note_fault("zone out")
+        await asyncio.to_thread(self._rig.publish_zone, zone, "out")
+        await asyncio.sleep(self._source.uniform(3, 10))
+        await asyncio.to_thread(self._rig.publish_zone, zone, "in")
+        await asyncio.sleep(2.0)
+        self._out_zones.discard(zone)
+
+    async def _change_contract(self) -> None:
+        self._note_fault("contract changed")
+        content = yaml.safe_load(self._contracts_text)
+        for contract in content["contracts"]:
+            contract["rate_per_s"] = self._source.choice((100.0, 200.0, 400.0))
+            contract["burst"] = self._source.choice((50, 100))
+        text = yaml.safe_dump(content)
+        await asyncio.to_thread(self._rig.publish, "contracts/customers", text)
+
+    async def _platform_down(self) -> None:
+        self._note_fault("platform down")
+        control = self._rig.control_platform
+        await asyncio.to_thread(control, {"down": True})
+        await asyncio.sleep(self._source.uniform(2, 10))
+        await asyncio.to_thread(control, {"down": False})
+
+    async def _platform_stale(self) -> None:
+        self._note_fault("platform stale")
+        control = self._rig.control_platform
+        seen = await asyncio.to_thread(control, {})
+        # It answers an older version than it has answered before.
+        frozen = max(1, seen["revision"] - self._source.randrange(3))
+        await asyncio.to_thread(control, {"frozen_at": frozen})
+        await asyncio.sleep(self._source.uniform(2, 10))
+        await asyncio.to_thread(control, {"frozen": False})
+
+    def _some_searchers(self) -> list[str]:
+        names = self._rig.searcher_names
+        return self._source.sample(names, self._source.randrange(1, 12))
+
+    async def _searchers_cold(self) -> None:
+        self._note_fault("searchers cold")
+        content = {"searchers": self._some_searchers(), "turn_cold": True}
+        await asyncio.to_thread(self._rig.change_searchers, content)
+
+    async def _searchers_straggle(self) -> None:
+        self._note_fault("searchers straggle")
+        names = self._some_searchers()
+        change = self._rig.change_searchers
+        slow = {"searchers": names, "straggler_share": 0.2}
+        await asyncio.to_thread(change, slow)
+        await asyncio.sleep(self._source.uniform(1, 6))
+        normal = {"searchers": names, "straggler_share": 0.0}
+        await asyncio.to_thread(change, normal)
+
+    async def _snapshot_missing(self) -> None:
+        self._note_fault("snapshot missing")
+        names = self._some_searchers()
+        change = self._rig.change_searchers
+        gone = {"searchers": names, "missing_snapshots": ["gen-0002"]}
+        await asyncio.to_thread(change, gone)
+        await asyncio.sleep(self._source.uniform(1, 5))
+        back = {"searchers": names, "missing_snapshots": []}
+        await asyncio.to_thread(change, back)
+
+    async def _searchers_down(self) -> None:
+        self._note_fault("searchers down")
+        names = self._some_searchers()
+        change = self._rig.change_searchers
+        await asyncio.to_thread(change, {"searchers": names, "is_down": True})
+        await asyncio.sleep(self._source.uniform(0.5, 3))
+        back = {"searchers": names, "is_down": False, "turn_cold": True}
+        await asyncio.to_thread(change, back)
+
+    async def _mend_everything(self) -> None:
+        await asyncio.to_thread(
+            self._rig.control_platform, {"down": False, "frozen": False}
+        )
+
+    def _compare(self) -> None:
+        report = self._report
+        for vm in self._rig.vm_names:
+            if self._rig.daemons[vm].poll() is not None:
+                report.problems.append(f"{vm} has ended; see its log")
+        month = clocks.month_of(clocks.Clock().wall())
+        counts = self._rig.ask_daemon(
+            self._rig.vm_names[0], f"/v1/counts?month={month}"
+        )
+        report.counted = counts["customers"]
+        if not counts["complete"]:
+            report.problems.append(f"counts lack {counts['unheard']}")
+        for customer, receipts in report.receipts.items():
+            counted = report.counted.get(customer, 0)
+            most = receipts + report.unresolved[customer]
+            if not receipts <= counted <= most:
+                report.problems.append(
+                    f"{customer}: counted {counted}, receipts {receipts},"
+                    f" unresolved {report.unresolved[customer]}"
+                )
+        self._compare_runs()
+
+    def _compare_runs(self) -> None:
+        report = self._report
+        executed: collections.Counter[str] = collections.Counter()
+        for seen in self._rig.tallies().values():
+            executed.update(seen["runs"])
+        for request_id, times in executed.items():
+            if times > 1:
+                report.repeated_runs += 1
+                report.problems.append(f"{request_id} ran {times} times")
+        for request_id, kind in report.run_outcomes.items():
+            times = executed[request_id]
+            if kind == "answered":
+                report.runs_answered += 1
+                if times != 1:
+                    report.problems.append(
+                        f"{request_id} was answered but ran {times} times"
+                    )
+            if kind == "ran no" and times:
+                report.problems.append(
+                    f"{request_id} was refused as not run but ran"
+                )
+
+
+def print_event(event: dict) -> None:
+    """Prints one JSON line."""
+    print(orjson.dumps(event).decode(), flush=True)
