Tell a member what is believed of it, so a partition heals to one view

Cause: a test of the membership decisions cut 2|3 for 6 s. After the cut each side held the other for dead; the news of that had been sent out during the cut, so nobody who lived again ever heard it and nobody refuted it. Change: whoever hears a member that it holds for suspect or dead spreads that record again. Before: both sides kept the partitioned view for good. Also here: the command-line tool, tests of the decisions, and a channel per connection without a stream buffer.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks. Each prints one JSON object as its last line."""
--- /dev/null
+++ b/citrondoor/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool of operators."""
--- /dev/null
+++ b/citrondoor/cli/main.py
@@ -0,0 +1,48 @@
+"""The command `citrondoorctl`."""
+
+import click
+
+import citrondoor
+from citrondoor.cli import _client
+from citrondoor.cli import _declarations
+from citrondoor.cli import _fleet
+from citrondoor.cli import _requests
+
+
+@click.group(
+    epilog="Exit codes: 0 done, 1 a problem was found, 2 usage or unreadable"
+    " declarations, 3 daemons cannot be reached, 4 the request was refused."
+)
+@click.version_option(citrondoor.__version__)
+@click.option(
+    "--entry",
+    "entries",
+    multiple=True,
+    envvar="CITRONDOOR_ENTRIES",
+    default=["http://127.0.0.1:22000"],
+    help="URL of a daemon; repeat it for several.",
+)
+@click.option(
+    "--key",
+    envvar="CITRONDOOR_KEY",
+    default="",
+    help="Key of a customer or of the operators.",
+)
+@click.pass_context
+def main(context: click.Context, entries: tuple[str, ...], key: str) -> None:
+    """Asks and checks a fleet of citrondoor daemons."""
+    context.obj = _client.DaemonClient(list(entries), key)
+
+
+main.add_command(_declarations.check)
+main.add_command(_declarations.diff)
+main.add_command(_declarations.contract)
+main.add_command(_requests.entries)
+main.add_command(_requests.search)
+main.add_command(_requests.run)
+main.add_command(_fleet.status)
+main.add_command(_fleet.timeline)
+main.add_command(_fleet.counts)
+
+if __name__ == "__main__":
+    main()
--- a/citrondoor/declarations/__init__.py
+++ b/citrondoor/declarations/__init__.py
@@ -6,7 +6,9 @@
 from citrondoor.declarations._check import Problem
 from citrondoor.declarations._check import check
 from citrondoor.declarations._difference import Difference
+from citrondoor.declarations._difference import Summary
 from citrondoor.declarations._difference import compare
+from citrondoor.declarations._difference import summarize
 from citrondoor.declarations._files import parse
 from citrondoor.declarations._files import read_directory
 
@@ -16,8 +18,10 @@
     "Problem",
     "ReplicaGroup",
     "SnapshotIndex",
+    "Summary",
     "check",
     "compare",
     "parse",
     "read_directory",
+    "summarize",
 ]
--- a/citrondoor/front/_app.py
+++ b/citrondoor/front/_app.py
@@ -141,6 +141,14 @@
             return _refuse(refusals.unauthenticated())
         return _answer(orjson.dumps(self._status.content()))
 
+    async def configuration(
+        self, request: requests.Request
+    ) -> responses.Response:
+        """GET /v1/configuration."""
+        if not self._is_operator(request):
+            return _refuse(refusals.unauthenticated())
+        return _answer(orjson.dumps(self._status.configuration()))
+
     async def exposition(self, request: requests.Request) -> responses.Response:
         """GET /metrics."""
         return responses.Response(
@@ -214,6 +222,7 @@
             routing.Route("/v1/counts", front.counts),
             routing.Route("/v1/timeline", front.timeline),
             routing.Route("/v1/status", front.status),
+            routing.Route("/v1/configuration", front.configuration),
             routing.Route("/metrics", front.exposition),
             routing.Route("/livez", front.live),
             routing.Route("/readyz", front.ready),
--- a/citrondoor/front/_status.py
+++ b/citrondoor/front/_status.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from citrondoor import declarations as declared
 from citrondoor import links
 from citrondoor.engine import _view
 from citrondoor.schema import messages
@@ -53,6 +54,17 @@
         is_in = self._view.catalogue.is_vm_in(self._view.vm)
         return self._state() == "serving" and is_in
 
+    def configuration(self) -> dict:
+        """Returns digests of everything in force as JSON content."""
+        documents = self._view.catalogue.documents
+        return {
+            "revision": self._revision(),
+            "documents": {
+                summary.key: summary.items
+                for summary in declared.summarize(documents)
+            },
+        }
+
     def content(self) -> dict:
         """Returns the status as JSON content."""
         catalogue = self._view.catalogue
--- a/citrondoor/limits/_gate.py
+++ b/citrondoor/limits/_gate.py
@@ -92,6 +92,11 @@
         """Calls that were started and have not ended."""
         return self._in_flight
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether calls wait."""
+        return bool(self._waiting)
+
     @property
     def load(self) -> int:
         """Calls in flight and waiting."""
--- a/citrondoor/links/_upstream.py
+++ b/citrondoor/links/_upstream.py
@@ -11,7 +11,6 @@
 from citrondoor.schema import messages
 from citrondoor.schema import settings as schema_settings
 
-READ_BYTES = 262_144
 SEARCH_PATH = "/v1/subsearch"
 RUN_PATH = "/v1/run"
 CANCEL_PATH = "/v1/cancel"
@@ -92,18 +91,92 @@
         self.skipped_cancels = 0
 
 
+class _Channel(asyncio.Protocol):
+    """Splits what a searcher sends and hands over the awaited response.
+
+    Args:
+      counters: Counts of the daemon.
+      on_lost: Called when the connection has closed.
+    """
+
+    __slots__ = (
+        "_awaited",
+        "_counters",
+        "_on_lost",
+        "_reader",
+        "_waiter",
+        "transport",
+    )
+
+    def __init__(self, counters: UpstreamCounters, on_lost: Callable[[], None]):
+        self._counters = counters
+        self._on_lost = on_lost
+        self._reader = codec.ResponseReader()
+        self._awaited = -1
+        self._waiter: asyncio.Future[codec.Response] | None = None
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport) -> None:
+        """Takes the open transport; called by the event loop."""
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        """Takes bytes; called by the event loop."""
+        try:
+            responses = self._reader.feed(data)
+        except ValueError as error:
+            self._fail(error)
+            return
+        for response in responses:
+            waiter = self._waiter
+            is_awaited = response.attempt == self._awaited
+            if is_awaited and waiter is not None and not waiter.done():
+                waiter.set_result(response)
+            else:
+                # Late, repeated or foreign: never handed to another call.
+                self._counters.foreign += 1
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Ends what waits; called by the event loop."""
+        self._fail(EOFError("the searcher closed the connection"))
+        self._on_lost()
+
+    def exchange(self, call: Call) -> "asyncio.Future[codec.Response]":
+        """Sends a call; the future ends with its response."""
+        self._awaited = call.number
+        waiter = self._waiter = asyncio.get_running_loop().create_future()
+        if self.transport.is_closing():
+            waiter.set_exception(EOFError("the connection is closed"))
+        else:
+            self.transport.write(call.payload)
+            call.was_sent = True
+        return waiter
+
+    def _fail(self, error: Exception) -> None:
+        waiter = self._waiter
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(error)
+        self.transport.abort()
+
+
 class _Connection:
     """One connection; its task serves one call after the other."""
 
-    __slots__ = ("_link", "_next", "call", "task", "writer")
+    __slots__ = ("_channel", "_link", "_next", "call", "task")
 
     def __init__(self, link: "SearcherLink"):
         self._link = link
-        self._next: asyncio.Future[Call] | None = None
+        self._channel = _Channel(link.counters, self._on_lost)
+        self._next: asyncio.Future[None] | None = None
         self.call: Call | None = None
-        self.writer: asyncio.StreamWriter | None = None
         self.task: asyncio.Task | None = None
 
+    @property
+    def is_closed(self) -> bool:
+        """Whether the searcher or this side has closed it."""
+        transport = self._channel.transport
+        return transport is not None and transport.is_closing()
+
     def start(self, call: Call) -> None:
         """Opens the connection and serves a first call."""
         self.call = call
@@ -112,70 +185,55 @@
     def assign(self, call: Call) -> None:
         """Gives an idle connection its next call."""
         self.call = call
-        self._next.set_result(call)
+        self._next.set_result(None)
 
     def abort(self) -> None:
         """Closes the connection at once."""
-        if self.writer is not None:
-            self.writer.transport.abort()
+        if self._channel.transport is not None:
+            self._channel.transport.abort()
         else:
             self.task.cancel()
 
+    def _on_lost(self) -> None:
+        if self.call is None:
+            self.task.cancel()
+
     async def _run(self) -> None:
         try:
-            reader = await self._open()
-            await self._serve(reader)
-        except (OSError, ValueError, TimeoutError, EOFError):
+            await self._open()
+            await self._serve()
+        except (OSError, ValueError, EOFError):
             pass
         finally:
-            if self.writer is not None:
-                self.writer.close()
+            if self._channel.transport is not None:
+                self._channel.transport.abort()
             self._link.on_closed(self)
 
-    async def _open(self) -> asyncio.StreamReader:
+    async def _open(self) -> None:
         link = self._link
+        searcher = link.searcher
+        loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(link.connect_timeout_s):
-                reader, self.writer = await asyncio.open_connection(
-                    link.searcher.address, link.searcher.port
+                await loop.create_connection(
+                    lambda: self._channel, searcher.address, searcher.port
                 )
         except (OSError, TimeoutError):
             link.on_dial_failed()
             raise
         link.on_dialed()
-        return reader
 
-    async def _serve(self, reader: asyncio.StreamReader) -> None:
+    async def _serve(self) -> None:
         link = self._link
-        writer = self.writer
-        responses = codec.ResponseReader()
+        loop = asyncio.get_running_loop()
         while True:
-            call = self.call
-            call.was_sent = True
-            writer.write(call.payload)
-            response = await self._read(reader, responses, call)
-            self.call = link.on_response(call, response)
+            response = await self._channel.exchange(self.call)
+            self.call = link.on_response(self.call, response)
             if self.call is None:
-                self._next = asyncio.get_running_loop().create_future()
+                self._next = loop.create_future()
                 link.on_idle(self)
                 await self._next
 
-    async def _read(
-        self,
-        reader: asyncio.StreamReader,
-        responses: codec.ResponseReader,
-        call: Call,
-    ) -> codec.Response:
-        while True:
-            data = await reader.read(READ_BYTES)
-            if not data:
-                raise EOFError("the searcher closed the connection")
-            for response in responses.feed(data):
-                if response.attempt == call.number:
-                    return response
-                # Late, repeated or foreign: never handed to this call.
-                self._link.counters.foreign += 1
-
 
 class SearcherLink:
     """All connections of this daemon to one searcher.
@@ -250,12 +308,14 @@
 
     def is_usable(self, now: int) -> bool:
         """Returns whether the searcher may be given new work now."""
-        if self._is_retired or self.gate.is_paused(now):
+        if now < self.gate.paused_until or self._is_retired:
             return False
         if now < self._no_dial_until and not self._idle:
             return False
-        allowed = self._warmth.allowed(self.searcher.name, now)
-        return self.gate.in_flight < allowed
+        name = self.searcher.name
+        if not self._warmth.is_cold(name):
+            return True
+        return self.gate.in_flight < self._warmth.allowed(name, now)
 
     def submit(self, call: Call, now: int) -> None:
         """Starts a call, lets it wait, or sheds it."""
@@ -290,9 +350,7 @@
             number, payload, "", deadline_at, codec.decode_run_answer, _ignore
         )
         call.started_at = -1
-        connection = self._idle.pop()
-        self._busy.add(connection)
-        connection.assign(call)
+        self._place(call)
 
     def sweep(self, now: int) -> None:
         """Ends calls that are late: waiting ones, and stuck connections."""
@@ -342,7 +400,8 @@
             name = self.searcher.name
             self._observations.observe(name, latency_ms, now)
             self._warmth.on_answered(name)
-            self._watch_slowness(latency_ms)
+            if self._slow_streak or latency_ms > SLOW_FLOOR_MS:
+                self._watch_slowness(latency_ms)
         else:
             self._note_failure(outcome)
         call.deliver(answer)
@@ -360,7 +419,6 @@
         self._busy.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
-            return
         call = connection.call
         if call is None or call.started_at < 0:
             return
@@ -379,8 +437,11 @@
         self._place(call)
 
     def _place(self, call: Call) -> None:
-        if self._idle:
+        while self._idle:
             connection = self._idle.pop()
+            if connection.is_closed:
+                # Its task is about to end; the call goes on another one.
+                continue
             self._busy.add(connection)
             connection.assign(call)
             return
@@ -389,6 +450,8 @@
         connection.start(call)
 
     def _next_call(self, now: int) -> Call | None:
+        if not self.gate.has_waiting:
+            return None
         allowed = self._warmth.allowed(self.searcher.name, now)
         call = self.gate.next_ready(now, allowed)
         if call is not None:
--- a/citrondoor/membership/_members.py
+++ b/citrondoor/membership/_members.py
@@ -175,6 +175,10 @@
         """Takes a heartbeat or its reply."""
         self._heard_at[sender.vm] = now
         self._merge(sender, now)
+        believed = self._table[sender.vm].state
+        if believed != sender.state and sender.vm != self._self.vm:
+            # It must hear what is believed of it, to refute that.
+            self._spread(sender.vm)
         for member in news:
             self._merge(member, now)
 
--- a/citrondoor/routing/_query.py
+++ b/citrondoor/routing/_query.py
@@ -168,13 +168,20 @@
         self._answer_at = _policies.answer_by(
             self._policy, now, self._request.deadline_at
         )
-        snapshot = self._snapshots.choose((), now)
+        snapshot = self._snapshots.newest
         if snapshot is None:
             return result.Err(refusals.no_snapshot(self._request.backend))
         refusal = self._check_width(snapshot)
         if refusal is not None:
             return result.Err(refusal)
-        return result.Ok(self._pin(snapshot, now))
+        first = self._pin(snapshot, now)
+        if len(first) < len(self._parts):
+            # A group has no usable holder: an older snapshot may be whole.
+            older = self._snapshots.choose((), now)
+            if older is not self._snapshot and not self._check_width(older):
+                self._forget_attempts()
+                first = self._pin(older, now)
+        return result.Ok(first)
 
     def on_answer(
         self, answer: messages.SubAnswer, now: int
@@ -315,16 +322,19 @@
         return [self._send(part, searcher, now, hedge=False)]
 
     def _choose(self, part: _Part, now: int) -> str | None:
+        if self._snapshots.may_lack():
+            self._note_lacking(part, now)
         excluded = part.tried
-        for name in part.group.replicas:
-            if name not in part.lacking and self._snapshots.lacks(
-                name, self.snapshot_name, now
-            ):
-                part.lacking.add(name)
         if part.lacking:
             excluded = part.tried | part.lacking
         return self._chooser.choose(part.group.replicas, excluded, now)
 
+    def _note_lacking(self, part: _Part, now: int) -> None:
+        name_of_snapshot = self.snapshot_name
+        for name in part.group.replicas:
+            if self._snapshots.lacks(name, name_of_snapshot, now):
+                part.lacking.add(name)
+
     def _send(
         self, part: _Part, searcher: str, now: int, hedge: bool
     ) -> messages.SubRequest:
@@ -444,9 +454,12 @@
             self._exhaust(part)
             return []
         self._restarts += 1
+        self._forget_attempts()
+        return self._pin(snapshot, now)
+
+    def _forget_attempts(self) -> None:
         self._unwanted += list(self._attempts)
         self._attempts.clear()
-        return self._pin(snapshot, now)
 
     def _coverage(self) -> messages.Coverage:
         answered = [part for part in self._parts if part.answered]
--- a/citrondoor/routing/_snapshots.py
+++ b/citrondoor/routing/_snapshots.py
@@ -37,8 +37,19 @@
 
     def lacks(self, searcher: str, snapshot: str, now: int) -> bool:
         """Returns whether a searcher was lately seen without a snapshot."""
+        if not self._missing:
+            return False
         return self._missing.get((searcher, snapshot), now) > now
 
+    @property
+    def newest(self) -> declared.SnapshotIndex | None:
+        """The newest declared snapshot."""
+        return self._snapshots[-1] if self._snapshots else None
+
+    def may_lack(self) -> bool:
+        """Returns whether any searcher was lately seen without a snapshot."""
+        return bool(self._missing)
+
     def choose(self, excluded, now: int) -> declared.SnapshotIndex | None:
         """Returns the newest snapshot that can be read whole.
 
@@ -60,12 +71,9 @@
     def _has_holder(
         self, group: declared.ReplicaGroup, snapshot: str, now: int
     ) -> bool:
-        if self._missing:
-            holders = tuple(
-                name
-                for name in group.replicas
-                if not self.lacks(name, snapshot, now)
-            )
-        else:
-            holders = group.replicas
+        holders = tuple(
+            name
+            for name in group.replicas
+            if not self.lacks(name, snapshot, now)
+        )
         return self._chooser.is_any_usable(holders, now)
--- a/citrondoor/standins/rig.py
+++ b/citrondoor/standins/rig.py
@@ -111,9 +111,8 @@
     def start(self) -> None:
         """Starts everything and waits until all daemons serve."""
         module = [sys.executable, "-m", "citrondoor.standins.main"]
-        self._spawn(
-            "platform", [*module, "platform", "--port", str(PLATFORM_PORT)]
-        )
+        where = ["--address", self._address, "--port", str(PLATFORM_PORT)]
+        self._spawn("platform", [*module, "platform", *where])
         for part in range(self._searcher_processes):
             command = [
                 *module,
--- /dev/null
+++ b/tests/configuration/test_store.py
@@ -0,0 +1,96 @@
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from citrondoor import configuration
+from citrondoor.schema import declarations
+from tests import samples
+
+
+def zones_at(revision: int, *out: str) -> declarations.Document:
+    return declarations.Document("zones", revision, zones=samples.zones(*out))
+
+
+def bad_at(revision: int) -> declarations.Document:
+    broken = samples.backend()
+    broken.searchers[0].zone = "nowhere"
+    return declarations.Document("backends/desk", revision, backend=broken)
+
+
+def test_a_whole_set_comes_into_force():
+    store = configuration.Store()
+    offer = store.offer(samples.documents())
+    assert len(offer.accepted) == 5
+    assert store.catalogue.is_zone_in("za")
+
+
+def test_an_older_or_equal_revision_changes_nothing():
+    store = configuration.Store()
+    store.offer(samples.documents())
+    store.offer([zones_at(5, "za")])
+    for revision in (1, 4, 5):
+        assert store.offer([zones_at(revision)]).accepted == []
+    assert not store.catalogue.is_zone_in("za")
+
+
+def test_a_bad_document_waits_and_holds_back_no_other():
+    store = configuration.Store()
+    store.offer(samples.documents())
+    offer = store.offer([bad_at(7), zones_at(8, "zb")])
+    assert offer.accepted == ["zones"]
+    assert "nowhere" in str(offer.problems[0])
+    assert store.waiting_count == 1
+    assert not store.catalogue.is_zone_in("zb")
+    assert store.catalogue.searchers["desk-0"].zone == "za"
+
+
+def test_a_later_document_can_make_a_waiting_one_agree():
+    store = configuration.Store()
+    store.offer(samples.documents())
+    store.offer([bad_at(7)])
+    more = samples.zones()
+    more.zones.append(declarations.Zone("nowhere", "north"))
+    offer = store.offer([declarations.Document("zones", 8, zones=more)])
+    assert sorted(offer.accepted) == ["backends/desk", "zones"]
+    assert store.waiting_count == 0
+
+
+def test_a_removed_contract_is_out_of_force():
+    store = configuration.Store()
+    store.offer(samples.documents())
+    store.offer([declarations.Document("contracts/all", 9)])
+    assert store.catalogue.contracts == {}
+
+
+@hypothesis.given(seed=strategies.integers(0, 1 << 30))
+def test_daemons_that_pull_from_each_other_end_equal_and_never_go_back(seed):
+    source = random.Random(seed)
+    platform = {d.key: d for d in samples.documents()}
+    stores = [configuration.Store() for _ in range(4)]
+    seen = [0] * 4
+    for revision in range(2, 40):
+        platform["zones"] = zones_at(
+            revision, *source.sample(("za", "zb", "zc"), source.randrange(3))
+        )
+        reader = source.choice(stores)
+        # A stale platform shows old documents again.
+        shown = list(platform.values())
+        if source.random() < 0.3:
+            shown = samples.documents()
+        reader.offer(shown)
+        for _ in range(source.randrange(4)):
+            one, other = source.sample(stores, 2)
+            one.offer(other.changed_after(one.revision))
+        for index, store in enumerate(stores):
+            assert store.revision >= seen[index]
+            seen[index] = store.revision
+    stores[0].offer(list(platform.values()))
+    for store in stores[1:]:
+        store.offer(stores[0].changed_after(store.revision))
+    assert {store.revision for store in stores} == {39}
+    shapes = {
+        tuple(store.catalogue.is_zone_in(z) for z in ("za", "zb", "zc"))
+        for store in stores
+    }
+    assert len(shapes) == 1
--- /dev/null
+++ b/tests/counting/test_ledger.py
@@ -0,0 +1,72 @@
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from citrondoor import counting
+from citrondoor.schema import messages
+
+MONTH = "2026-12"
+
+
+def total(ledger, customer="acme", month=MONTH) -> int:
+    found = {t.customer: t.requests for t in ledger.totals(month)}
+    return found.get(customer, 0)
+
+
+def count(ledger, number, session="s", month=MONTH, customer="acme") -> bool:
+    return ledger.add(customer, month, messages.RequestId(session, number))
+
+
+@hypothesis.given(seed=strategies.integers(0, 1 << 30))
+def test_any_order_of_counting_and_merging_counts_each_request_once(seed):
+    source = random.Random(seed)
+    ledgers = [counting.Ledger() for _ in range(4)]
+    distinct = set()
+    for _ in range(80):
+        ledger = source.choice(ledgers)
+        session = source.choice(("a", "b", "c"))
+        number = source.randrange(1, 25)
+        count(ledger, number, session)
+        distinct.add((session, number))
+        if source.random() < 0.3:
+            source.choice(ledgers).merge(ledger.all_counts())
+    for ledger in ledgers:
+        for other in ledgers:
+            ledger.merge(other.all_counts())
+    assert {total(ledger) for ledger in ledgers} == {len(distinct)}
+    assert len({tuple(ledger.digests()) for ledger in ledgers}) == 1
+
+
+def test_digests_name_the_buckets_that_differ():
+    one, other = counting.Ledger(), counting.Ledger()
+    count(one, 1, "x")
+    count(other, 1, "x")
+    assert one.digests() == other.digests()
+    count(one, 2, "x")
+    differing = [
+        bucket
+        for bucket, (a, b) in enumerate(
+            zip(one.digests(), other.digests(), strict=True)
+        )
+        if a != b
+    ]
+    assert len(differing) == 1
+    other.merge(one.counts_in(differing))
+    assert one.digests() == other.digests()
+
+
+def test_a_request_recorded_in_two_months_counts_in_the_earlier_one():
+    ledger = counting.Ledger()
+    count(ledger, 1, month="2026-11")
+    count(ledger, 1)
+    count(ledger, 2)
+    assert total(ledger, month="2026-11") == 1
+    assert total(ledger) == 1
+
+
+def test_a_repeated_id_is_not_new():
+    ledger = counting.Ledger()
+    assert count(ledger, 7)
+    assert not count(ledger, 7)
+    assert count(ledger, 7, customer="other")
--- a/tests/limits/test_rates.py
+++ b/tests/limits/test_rates.py
@@ -179,7 +179,7 @@
 def test_no_fault_admits_more_than_the_contract(seed):
     source = random.Random(seed)
     fleet = Fleet(5, source, loss=source.choice((0.0, 0.1, 0.5)))
-    sizes = {vm: 5 for vm in fleet.tables}
+    sizes = dict.fromkeys(fleet.tables, 5)
     revision = 1
     for _ in range(12):
         fault = source.choice(("crash", "restart", "cut", "change", "none"))
--- a/tests/limits/test_warmth.py
+++ b/tests/limits/test_warmth.py
@@ -48,7 +48,7 @@
         vm = source.choice(VMS)
         ask(fleet, vm, now)
         for _ in range(source.randrange(4)):
-            if 0 < fleet[vm].allowed(SEARCHER, now):
+            if fleet[vm].allowed(SEARCHER, now) > 0:
                 fleet[vm].on_answered(SEARCHER)
         if source.random() < 0.5:
             sender, receiver = source.sample(VMS, 2)
--- /dev/null
+++ b/tests/membership/test_members.py
@@ -0,0 +1,136 @@
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from citrondoor import membership
+from citrondoor.schema import messages
+from citrondoor.schema import settings as schema_settings
+
+STATE = messages.MemberState
+SETTINGS = schema_settings.PeerSettings(key="00")
+BEAT_MS = SETTINGS.heartbeat_ms
+
+
+class Fleet:
+    """Members that exchange heartbeats over links that can be cut."""
+
+    def __init__(self, size: int):
+        self.names = [f"vm-{number}" for number in range(size)]
+        self.now = 0
+        self.tables: dict[str, membership.Members] = {}
+        self.cut: set[frozenset[str]] = set()
+        for name in self.names:
+            self.start(name, 1)
+        self.run(2000)
+
+    def start(self, name: str, incarnation: int) -> None:
+        members = membership.Members(
+            name, incarnation, SETTINGS, lambda kind, detail: None
+        )
+        members.set_declared(self.names, 1, self.now)
+        self.tables[name] = members
+
+    def run(self, ms: int) -> None:
+        until = self.now + ms
+        while self.now < until:
+            self.now += BEAT_MS
+            for name, members in self.tables.items():
+                for other in members.neighbours:
+                    if frozenset((name, other)) not in self.cut:
+                        self.beat(name, other)
+                members.tick(self.now)
+
+    def beat(self, name: str, other: str) -> None:
+        if other not in self.tables:
+            return
+        asker, replier = self.tables[name], self.tables[other]
+        joining = len(asker.table) == 1
+        replier.on_heard(asker.sender(), asker.take_news(), self.now)
+        news = replier.table if joining else replier.take_news()
+        asker.on_heard(replier.sender(), news, self.now)
+
+    def states(self, vm: str) -> set:
+        return {m.state_of(vm) for name, m in self.tables.items() if name != vm}
+
+
+def test_a_crashed_member_is_dead_to_all_within_the_bound():
+    fleet = Fleet(5)
+    del fleet.tables["vm-3"]
+    fleet.run(SETTINGS.dead_ms + 4 * BEAT_MS)
+    assert fleet.states("vm-3") == {STATE.DEAD}
+    assert "vm-3" not in fleet.tables["vm-0"].live()
+
+
+def test_one_lossy_link_condemns_nobody():
+    fleet = Fleet(5)
+    fleet.cut = {frozenset(("vm-0", "vm-1"))}
+    for _ in range(60):
+        fleet.run(BEAT_MS)
+        for members in fleet.tables.values():
+            assert members.live() == fleet.names
+
+
+def test_a_partition_heals_to_one_view():
+    fleet = Fleet(5)
+    left, right = fleet.names[:2], fleet.names[2:]
+    fleet.cut = {frozenset((a, b)) for a in left for b in right}
+    fleet.run(6000)
+    assert fleet.tables["vm-0"].live() == left
+    assert fleet.tables["vm-4"].live() == right
+    fleet.cut = set()
+    fleet.run(3000)
+    for members in fleet.tables.values():
+        assert members.live() == fleet.names
+
+
+def test_a_later_incarnation_replaces_a_dead_one():
+    fleet = Fleet(3)
+    del fleet.tables["vm-1"]
+    fleet.run(4000)
+    fleet.start("vm-1", 2)
+    fleet.run(2000)
+    assert fleet.tables["vm-0"].live() == fleet.names
+
+
+def test_an_older_incarnation_learns_that_it_is_superseded():
+    fleet = Fleet(3)
+    old = fleet.tables["vm-1"]
+    fleet.start("vm-1", 2)
+    fleet.run(1000)
+    old.on_heard(
+        fleet.tables["vm-0"].sender(), fleet.tables["vm-0"].table, fleet.now
+    )
+    assert old.is_superseded
+    assert not fleet.tables["vm-1"].is_superseded
+
+
+def test_a_leaving_member_is_no_entry_any_more():
+    fleet = Fleet(4)
+    fleet.tables["vm-2"].set_leaving()
+    fleet.run(1000)
+    assert fleet.states("vm-2") == {STATE.LEAVING}
+    assert "vm-2" not in fleet.tables["vm-0"].live()
+
+
+def test_a_vm_is_gone_only_after_it_was_listed():
+    members = Fleet(3).tables["vm-0"]
+    before = members.known_revision("vm-1")
+    members.note_vm_list(["vm-0"], [])
+    assert members.known_revision("vm-1") == before
+    members.note_vm_list(["vm-0", "vm-1"], [])
+    members.note_vm_list(["vm-0"], [])
+    assert members.known_revision("vm-1") > 1 << 40
+
+
+@hypothesis.given(
+    size=strategies.integers(2, 40), limit=strategies.integers(1, 8)
+)
+def test_neighbours_are_bounded_and_the_same_for_every_order(size, limit):
+    names = [f"vm-{number}" for number in range(size)]
+    shuffled = random.Random(size).sample(names, size)
+    for name in names:
+        chosen = membership.choose_neighbours(name, names, limit)
+        assert len(chosen) <= limit
+        assert name not in chosen
+        assert chosen == membership.choose_neighbours(name, shuffled, limit)
