Let daemons take turns at cold searchers; start tokens before requests

First requests of a customer were refused because its bucket was made empty at that moment. Change: leases at cold searchers last 200 ms and are given back when idle, a borrower that was refused gets the next turn, calls in flight keep theirs; a query looks every 20 ms whether a replica may be used; buckets of homes fill from the start.

--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -28,6 +28,8 @@
 TICK_MS = 100
 ATTEMPT_BITS = 20
 JOIN_POLL_MS = 50
+# Tokens fill for this long before callers are sent here.
+FILL_MS = 300
 # A daemon that hears of no peer in this time takes itself for the first one.
 LONELY_MS = 2000
 # A peer that is this much older makes the fleet one that serves already.
@@ -109,10 +111,10 @@
         await self._front.start()
         self._start_task(self._configuration.run())
         self._start_task(self._tick_forever())
+        self._start_task(self._leases.run())
+        self._start_task(self._warmth_keeper.run())
         await self._join()
         if not self._stopping.is_set():
-            self._start_task(self._leases.run())
-            self._start_task(self._warmth_keeper.run())
             self._start_task(self._counts.run())
             self._admission.is_closed = False
             self._lifecycle.serve()
@@ -204,7 +206,7 @@
             settings.vm, settings.upstreams, self._warmth, self._clock
         )
         self._warmth_keeper = engine.WarmthKeeper(
-            self._view, self._peering, self._warmth
+            self._view, self._peering, self._warmth, self._pool.in_flight
         )
         self._search_engine = engine.SearchEngine(
             self._view,
@@ -308,7 +310,7 @@
         self._is_joined = True
         await self._counts.recover()
         self._quantities.is_recovered = True
-        hold_until = self._started_at + limits.START_HOLD_MS
+        hold_until = self._started_at + limits.START_HOLD_MS + FILL_MS
         while self._clock.now() < hold_until and not self._stopping.is_set():
             await asyncio.sleep(JOIN_POLL_MS / clocks.MS_PER_S)
 
@@ -334,6 +336,7 @@
             self._view.freshness.check(now)
             self._peering.tick(now)
             self._pool.sweep(now)
+            self._rates.refresh(now)
             if self._view.members.is_superseded:
                 raise errors.InvariantError(
                     f"a later incarnation of {self._settings.vm!r} serves;"
--- a/citrondoor/engine/_warmth.py
+++ b/citrondoor/engine/_warmth.py
@@ -1,6 +1,7 @@
 """Asks wardens for calls at cold searchers."""
 
 import asyncio
+from collections.abc import Callable
 
 from citrondoor import clock as clocks
 from citrondoor import errors
@@ -9,7 +10,7 @@
 from citrondoor.engine import _view
 from citrondoor.schema import messages
 
-ASK_EVERY_MS = 50
+ASK_EVERY_MS = 20
 # Calls that one daemon asks for at one cold searcher.
 WANTED_CALLS = 8
 
@@ -21,16 +22,19 @@
       view: What this daemon knows.
       peering: Links to peers.
       warmth: Levels and leases.
+      in_flight: Returns this daemon's calls in flight at a searcher.
     """
 
-    __slots__ = ("_peering", "_tasks", "_view", "_warmth")
+    __slots__ = ("_in_flight", "_peering", "_tasks", "_view", "_warmth")
 
     def __init__(
         self,
         view: _view.View,
         peering: _peering.Peering,
         warmth: limits.Warmth,
+        in_flight: Callable[[str], int],
     ):
+        self._in_flight = in_flight
         self._view = view
         self._peering = peering
         self._warmth = warmth
@@ -46,7 +50,8 @@
 
     def _ask_all(self) -> None:
         now = self._view.clock.now()
-        for warden, asks in self._warmth.asks(WANTED_CALLS, now).items():
+        wanted = self._warmth.asks(WANTED_CALLS, self._in_flight, now)
+        for warden, asks in wanted.items():
             if warden == self._view.vm:
                 for ask in asks:
                     grant = self._warmth.grant(ask, warden, now)
--- a/citrondoor/limits/_leases.py
+++ b/citrondoor/limits/_leases.py
@@ -22,11 +22,16 @@
 
 
 class Lender:
-    """Shares that this VM lent to others, for one customer."""
+    """What this VM lent to others: shares of a rate, or calls.
 
-    __slots__ = ("_leases",)
+    Args:
+      lease_ms: Length of a lease, in milliseconds.
+    """
 
-    def __init__(self):
+    __slots__ = ("_lease_ms", "_leases")
+
+    def __init__(self, lease_ms: int = LEASE_MS):
+        self._lease_ms = lease_ms
         self._leases: dict[str, list[_Lease]] = {}
 
     def lent(self, now: int) -> float:
@@ -44,10 +49,14 @@
 
     def grant(self, borrower: str, share: float, now: int) -> None:
         """Notes a lease that is about to be sent."""
-        ends_at = now + LEASE_MS + LEASE_MARGIN_MS
+        ends_at = now + self._lease_ms + LEASE_MARGIN_MS
         kept = [x for x in self._leases.get(borrower, ()) if x.ends_at > now]
         self._leases[borrower] = [*kept, _Lease(share, ends_at)]
 
+    def release(self, borrower: str) -> None:
+        """Forgets the leases of a borrower that says it uses none."""
+        self._leases.pop(borrower, None)
+
     def drop_ended(self, now: int) -> None:
         """Forgets leases that have ended."""
         for borrower in list(self._leases):
--- a/citrondoor/limits/_rates.py
+++ b/citrondoor/limits/_rates.py
@@ -156,6 +156,10 @@
         if self._borrower.borrowed_from(lender, now):
             self._bucket.add(grant.tokens, now)
 
+    def refresh(self, now: int) -> None:
+        """Lets tokens fill at the share of this time."""
+        self._resize(now)
+
     def usable_share(self, now: int) -> float:
         """Returns the share that this daemon may use now."""
         return self._own_share(now) + self._borrower.borrowed(now)
@@ -233,6 +237,16 @@
                 del self._rates[customer]
             else:
                 self._assign(customer, self._rates[customer], now)
+        # Tokens of a home fill up before the first request comes.
+        for customer in catalogue.contracts:
+            homes = _shares.assign_homes(catalogue, customer)
+            if self._vm in homes:
+                self.rate_of(customer, now)
+
+    def refresh(self, now: int) -> None:
+        """Lets tokens fill at the shares of this time; call it regularly."""
+        for rate in self._rates.values():
+            rate.refresh(now)
 
     def rate_of(self, customer: str, now: int) -> CustomerRate | None:
         """Returns a customer's rate, or None without a contract."""
--- a/citrondoor/limits/_warmth.py
+++ b/citrondoor/limits/_warmth.py
@@ -8,6 +8,8 @@
 before it. Heartbeats spread who is cold and the level.
 """
 
+from collections.abc import Callable
+
 from citrondoor import rendezvous
 from citrondoor.limits import _leases
 from citrondoor.schema import messages
@@ -20,8 +22,12 @@
 # doubling of the fleet.
 MAX_NEWS = 16
 SENDS_PER_DOUBLING = 4
+# Leases are short, so that daemons take turns at a searcher that bears little.
+LEASE_MS = 200
 # A searcher that no query chose for this long is not asked for any more.
-WANT_MS = 1000
+WANT_MS = 100
+# A borrower that was refused waits for its turn this long.
+TURN_MS = 300
 
 
 class _Cold:
@@ -32,8 +38,10 @@
         "calls",
         "calls_until",
         "full_level",
+        "last_borrower",
         "lender",
         "level",
+        "refused_at",
         "reported",
         "since_ms",
         "wanted_until",
@@ -47,7 +55,9 @@
         self.full_level = full_level
         # As the warden.
         self.reported = 0
-        self.lender = _leases.Lender()
+        self.lender = _leases.Lender(LEASE_MS)
+        self.last_borrower = ""
+        self.refused_at: dict[str, int] = {}
         self.warden: str | None = None
         self.warden_since = 0
         # As a borrower.
@@ -131,14 +141,26 @@
             cold.answered += 1
 
     def asks(
-        self, wanted_calls: int, now: int
+        self, wanted_calls: int, in_flight: Callable[[str], int], now: int
     ) -> dict[str, list[messages.WarmthAsk]]:
-        """Returns what to ask of which warden; this VM may be among them."""
+        """Returns what to ask of which warden; this VM may be among them.
+
+        Args:
+          wanted_calls: Calls to ask for at each searcher that queries chose.
+          in_flight: Returns this daemon's calls in flight at a searcher.
+          now: Reading of the clock.
+        """
         by_warden: dict[str, list[messages.WarmthAsk]] = {}
         for name, cold in self._cold.items():
-            if now >= cold.wanted_until or cold.warden is None:
+            open_calls = in_flight(name)
+            is_wanted = now < cold.wanted_until or open_calls > 0
+            if cold.warden is None or not (is_wanted or cold.calls):
                 continue
-            ask = messages.WarmthAsk(name, wanted_calls, cold.answered)
+            calls = wanted_calls if is_wanted else 0
+            if not is_wanted:
+                # Given back before the warden is told.
+                cold.calls = 0
+            ask = messages.WarmthAsk(name, calls, cold.answered, open_calls)
             cold.answered = 0
             by_warden.setdefault(cold.warden, []).append(ask)
         return by_warden
@@ -151,13 +173,11 @@
         cold = self._cold.get(ask.searcher)
         if cold is not None and self._may_grant(cold, now):
             self._take_report(ask.searcher, cold, ask.answered)
-            cold.lender.drop_ended(now)
-            before = int(cold.lender.lent_to(borrower, now))
-            others = int(cold.lender.lent(now)) - before
-            calls = max(0, min(ask.calls, cold.level - others))
-            if calls:
-                cold.lender.grant(borrower, calls, now)
-        return messages.WarmthGrant(ask.searcher, calls, _leases.LEASE_MS)
+            if ask.calls == 0:
+                cold.lender.release(borrower)
+            else:
+                calls = self._lend(cold, ask, borrower, now)
+        return messages.WarmthGrant(ask.searcher, calls, LEASE_MS)
 
     def receive(
         self, grant: messages.WarmthGrant, asked_at: int, now: int
@@ -220,11 +240,37 @@
 
     def _may_grant(self, cold: _Cold, now: int) -> bool:
         # Leases of the warden before must have ended.
-        ready_at = (
-            cold.warden_since + _leases.LEASE_MS + _leases.LEASE_MARGIN_MS
-        )
+        ready_at = cold.warden_since + LEASE_MS + _leases.LEASE_MARGIN_MS
         return cold.warden == self._vm and now >= ready_at
 
+    def _lend(
+        self, cold: _Cold, ask: messages.WarmthAsk, borrower: str, now: int
+    ) -> int:
+        lender = cold.lender
+        lender.drop_ended(now)
+        others = int(lender.lent(now) - lender.lent_to(borrower, now))
+        free = cold.level - others
+        waiting = self._waiting_borrowers(cold, borrower, now)
+        fair = max(1, cold.level // (1 + waiting))
+        if waiting and free < 2 and cold.last_borrower == borrower:
+            # Somebody else waits for the only call: it is its turn.
+            fair = 0
+        # What is in flight stays lent, whatever the turn.
+        calls = max(0, min(ask.calls, free, fair), ask.in_flight)
+        if calls:
+            lender.grant(borrower, calls, now)
+            cold.last_borrower = borrower
+            cold.refused_at.pop(borrower, None)
+        else:
+            cold.refused_at[borrower] = now
+        return calls
+
+    def _waiting_borrowers(self, cold: _Cold, borrower: str, now: int) -> int:
+        return sum(
+            name != borrower and now - at < TURN_MS
+            for name, at in cold.refused_at.items()
+        )
+
     def _take_report(self, searcher: str, cold: _Cold, answered: int) -> None:
         cold.reported += answered
         if cold.reported >= ANSWERS_PER_LEVEL * cold.level:
--- a/citrondoor/links/_upstream.py
+++ b/citrondoor/links/_upstream.py
@@ -522,6 +522,11 @@
         """Links by name of the searcher."""
         return self._links
 
+    def in_flight(self, searcher: str) -> int:
+        """Returns this daemon's calls in flight at a searcher."""
+        link = self._links.get(searcher)
+        return link.gate.in_flight if link is not None else 0
+
     def observations_of(self, backend: str) -> routing.Observations:
         """Returns the latencies measured at a back end."""
         if backend not in self._observations:
--- a/citrondoor/routing/_query.py
+++ b/citrondoor/routing/_query.py
@@ -24,6 +24,8 @@
 # Pause before every replica of a group is tried again; doubles each round.
 RETRY_PAUSE_MS = 10
 MAX_RETRY_PAUSE_MS = 320
+# Pause before looking again whether any replica may receive work.
+LOOK_PAUSE_MS = 20
 
 _Outcome = messages.SubOutcome
 
@@ -416,10 +418,13 @@
         return self._pause(part, now)
 
     def _pause(self, part: _Part, now: int) -> list[messages.SubRequest]:
-        if not _policies.retries_missing(self._policy) and part.rounds:
+        gives_up = not _policies.retries_missing(self._policy)
+        if gives_up and part.was_sent and part.rounds:
             self._exhaust(part)
             return []
         pause = min(RETRY_PAUSE_MS << part.rounds, MAX_RETRY_PAUSE_MS)
+        if not part.was_sent:
+            pause = LOOK_PAUSE_MS
         part.rounds += 1
         part.hedge_at = None
         part.retry_at = now + pause
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -226,6 +226,8 @@
   2: required i32 calls
   // Good answers since the last ask.
   3: required i32 answered
+  // Calls that the borrower has there now; they keep their lease.
+  4: required i32 in_flight
 }
 
 struct WarmthAsks { 1: required list<WarmthAsk> asks }
