--- a/citrondoor/standins/rig.py
+++ b/citrondoor/standins/rig.py
@@ -138,8 +138,12 @@
         for vm in self.vm_names:
             self.wait_ready(vm)
 
-    def stop(self) -> None:
-        """Ends everything that was started and removes its files."""
+    def stop(self, keep_files: bool = False) -> None:
+        """Ends everything that was started and removes its files.
+
+        Args:
+          keep_files: Whether to leave settings and logs, to look into them.
+        """
         for process in [*self.daemons.values(), *self.processes]:
             if process.poll() is None:
                 with contextlib.suppress(ProcessLookupError):
@@ -147,7 +151,8 @@
                 process.kill()
         for process in [*self.daemons.values(), *self.processes]:
             process.wait()
-        shutil.rmtree(self._home, ignore_errors=True)
+        if not keep_files:
+            shutil.rmtree(self._home, ignore_errors=True)
 
     def start_daemon(self, vm: str) -> None:
         """Starts the daemon of a VM."""
--- a/citrondoor/standins/soak.py
+++ b/citrondoor/standins/soak.py
@@ -142,7 +142,10 @@
             self._rig.start()
             asyncio.run(self._run())
         finally:
-            self._rig.stop()
+            is_bad = bool(self._report.problems) or not self._report.counted
+            self._rig.stop(keep_files=is_bad)
+            if is_bad:
+                print(f"logs are in {self._rig.home}", file=sys.stderr)
         return self._report
 
     async def _run(self) -> None:
