--- /dev/null
+++ b/benchmarks/_deployments.py
@@ -0,0 +1,128 @@
+"""Running deployments for benchmarks."""
+
+import asyncio
+import contextlib
+import pathlib
+import tempfile
+
+from citrondoor.standins import declare
+from citrondoor.standins import load
+from citrondoor.standins import rig
+
+EXAMPLES = pathlib.Path("examples")
+WARM_UP_S = 8.0
+
+
+class Workload:
+    """One deployment with its two customers.
+
+    Args:
+      name: Directory of its declarations.
+      backend: The search back end that is measured.
+      customers: Keys by name; the first one carries the load.
+    """
+
+    __slots__ = ("backend", "customers", "name")
+
+    def __init__(self, name: str, backend: str, customers: dict[str, str]):
+        self.name = name
+        self.backend = backend
+        self.customers = customers
+
+    @property
+    def directory(self) -> pathlib.Path:
+        """Directory of its declarations."""
+        return EXAMPLES / self.name
+
+    def plan(self, rate_per_s: float, **changes) -> load.LoadPlan:
+        """Returns the plan of the first customer."""
+        customer, key = next(iter(self.customers.items()))
+        return load.LoadPlan(customer, key, self.backend, rate_per_s, **changes)
+
+
+MN_CENTRAL = Workload(
+    "mn-central",
+    "inspect-search",
+    {
+        "altan-sprinkler": "altan-demo-key",
+        "gobi-fire-safety": "gobi-demo-key",
+    },
+)
+NORTH_MILL = Workload(
+    "north-mill",
+    "catalogue",
+    {"trade-buyers": "trade-demo-key", "shop-customers": "shop-demo-key"},
+)
+WORKLOADS = [MN_CENTRAL, NORTH_MILL]
+
+
+@contextlib.contextmanager
+def running(workload: Workload, **options):
+    """Runs a deployment and yields its rig; warms all searchers first."""
+    deployment = rig.Rig(workload.directory, **options)
+    try:
+        deployment.start()
+        yield deployment
+    finally:
+        deployment.stop()
+
+
+@contextlib.contextmanager
+def running_with_vms(count: int, **options):
+    """Runs mn-central with another number of entry VMs."""
+    with tempfile.TemporaryDirectory() as directory:
+        shape = declare.MN_CENTRAL
+        changed = declare.Deployment(
+            shape.name,
+            shape.zones,
+            shape.search,
+            shape.run,
+            shape.contracts,
+            shape.http_port,
+            count,
+        )
+        declare.write_deployment(pathlib.Path(directory), changed)
+        deployment = rig.Rig(pathlib.Path(directory), **options)
+        try:
+            deployment.start()
+            yield deployment
+        finally:
+            deployment.stop()
+
+
+def urls(deployment: rig.Rig) -> list[str]:
+    """Returns the URLs of all entries."""
+    return [deployment.url_of(vm) for vm in deployment.vm_names]
+
+
+def send(
+    deployment: rig.Rig, plans: list[load.LoadPlan], seed: int, seconds: float
+) -> dict[str, load.LoadResult]:
+    """Sends load and returns what each customer got."""
+    sender = load.Load(urls(deployment), plans, seed)
+    return asyncio.run(sender.run(seconds))
+
+
+def warm_up(deployment: rig.Rig, workload: Workload, seed: int) -> None:
+    """Sends until the searchers of the measured back end are warm."""
+    send(deployment, [workload.plan(60.0)], seed, WARM_UP_S)
+
+
+def total_counters(deployment: rig.Rig) -> dict[str, float]:
+    """Returns the counters of all daemons, summed."""
+    totals: dict[str, float] = {}
+    for vm in deployment.vm_names:
+        counters = deployment.ask_daemon(vm, "/v1/status")["counters"]
+        for name, value in counters.items():
+            totals[name] = totals.get(name, 0) + value
+    return totals
+
+
+def worst(rows: list[dict[str, float]], lower_is_worse: set[str]) -> dict:
+    """Returns the worse value of each figure over several deployments."""
+    figures = {}
+    for name in rows[0]:
+        values = [row[name] for row in rows]
+        choose = min if name in lower_is_worse else max
+        figures[name] = choose(values)
+    return figures
--- /dev/null
+++ b/benchmarks/bench_counts.py
@@ -0,0 +1,44 @@
+"""Counts against receipts while VMs are lost, replaced and cut off."""
+
+import click
+
+from benchmarks import _deployments
+from benchmarks import _report
+from citrondoor.standins import soak
+
+MINUTES = 3.0
+QUICK_MINUTES = 0.4
+FAULTS = ("crash", "crash", "restart", "partition", "pause")
+
+
+@click.command()
+@_report.seed_option
+def main(seed: int) -> None:
+    minutes = QUICK_MINUTES if _report.is_quick() else MINUTES
+    rows = {}
+    for workload in _deployments.WORKLOADS:
+        run = soak.Soak(workload.directory, seed, minutes, "127.0.0.1", FAULTS)
+        content = run.run().content()
+        receipts = sum(content["receipts"].values())
+        counted = sum(content["counted"].values())
+        rows[workload.name] = {
+            "counts_minus_receipts": abs(counted - receipts),
+            "receipts": receipts,
+            "unresolved": sum(content["unresolved"].values()),
+            "repeated_runs": content["repeated_runs"],
+            "faults": sum(content["faults"].values()),
+            "problems": content["problem_count"],
+        }
+        for problem in content["problems"]:
+            print(problem)
+    _report.print_report(
+        "counts",
+        seed,
+        _deployments.worst(list(rows.values()), {"receipts", "faults"}),
+        rows,
+        {"counts_minus_receipts": 0, "repeated_runs": 0},
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/citrondoor/links/_platform.py
+++ b/citrondoor/links/_platform.py
@@ -1,7 +1,6 @@
 """Reads the platform: published values, and the list of VMs."""
 
 import aiosonic
-import aiosonic.exceptions
 import orjson
 
 from citrondoor import clock as clocks
@@ -94,6 +93,12 @@
         """Closes the connections."""
         await self._client.connector.cleanup()
 
+    async def _replace_client(self) -> None:
+        # The library may reuse a connection whose response is still to come:
+        # that response would be taken for the next one.
+        await self._client.connector.cleanup()
+        self._client = aiosonic.HTTPClient()
+
     async def _get(self, path: str, extra_ms: int) -> dict:
         limit_s = (self._settings.timeout_ms + extra_ms) / clocks.MS_PER_S
         timeouts = aiosonic.Timeouts(
@@ -107,9 +112,8 @@
                 self._settings.url + path, timeouts=timeouts
             )
             body = await response.content()
-        except (aiosonic.exceptions.BaseTimeout, OSError) as error:
-            raise _unusable(f"no answer: {type(error).__name__}") from error
         except Exception as error:  # The client raises many kinds.
+            await self._replace_client()
             raise _unusable(f"{type(error).__name__}: {error}") from error
         if response.status_code != 200:
             raise _unusable(f"status {response.status_code}")
--- a/citrondoor/standins/client.py
+++ b/citrondoor/standins/client.py
@@ -3,16 +3,15 @@
 import asyncio
 import random
 
-import aiosonic
-import aiosonic.pools
+import httptools
 import orjson
 
 from citrondoor import clock as clocks
+from citrondoor.standins import http_client
 
 # A caller gives up on one attempt this long after its deadline.
 EXTRA_WAIT_MS = 1000
 RETRY_PAUSE_MS = 50
-POOL_SIZE = 256
 
 
 class Outcome:
@@ -82,9 +81,7 @@
         self._zone = zone
         self._source = source
         self._clock = clocks.Clock()
-        pools = {":default": aiosonic.pools.PoolConfig(size=POOL_SIZE)}
-        connector = aiosonic.TCPConnector(pool_configs=pools)
-        self._client = aiosonic.HTTPClient(connector)
+        self._client = http_client.HttpClient()
         self._entries: list[str] = []
         self._expires_at = 0
         self._session = ""
@@ -97,7 +94,7 @@
 
     async def close(self) -> None:
         """Closes the connections."""
-        await self._client.connector.cleanup()
+        self._client.close()
 
     def next_id(self) -> str:
         """Returns a new request id; needs entries."""
@@ -212,27 +209,14 @@
     async def _send(
         self, method: str, url: str, content: dict | None, wait_ms: int
     ) -> tuple[int, dict]:
-        limit_s = (wait_ms + EXTRA_WAIT_MS) / clocks.MS_PER_S
-        timeouts = aiosonic.Timeouts(
-            sock_connect=1.0, sock_read=limit_s, request_timeout=limit_s
-        )
-        headers = {
-            "authorization": f"Bearer {self._key}",
-            "content-type": "application/json",
-        }
+        body = orjson.dumps(content) if content else b""
         try:
             response = await self._client.request(
-                url,
-                method=method,
-                headers=headers,
-                data=orjson.dumps(content) if content else None,
-                timeouts=timeouts,
+                method, url, self._key, body, wait_ms + EXTRA_WAIT_MS
             )
-            body = await response.content()
-            return response.status_code, orjson.loads(body)
-        except asyncio.CancelledError:
-            raise
-        except Exception:  # A caller treats every failure of a send alike.
+            return response.status, orjson.loads(response.body)
+        except (OSError, EOFError, ValueError, httptools.HttpParserError):
+            # A caller treats every failure of a send alike.
             return 0, {}
 
 
--- a/examples/make_declarations.py
+++ b/citrondoor/standins/declare.py
@@ -1,9 +1,8 @@
 """Writes the declarations of both first deployments, at their sizes of today.
 
-Usage: python examples/make_declarations.py [DIRECTORY]
-
-The written files are committed; operators edit them from then on. All
-addresses are on loopback, so the deployments run on one machine.
+`python -m citrondoor.standins.declare examples` made the committed files;
+operators edit them from then on. All addresses are on loopback, so the
+deployments run on one machine.
 """
 
 import hashlib
@@ -81,11 +80,30 @@
       run: Its back ends for non-idempotent requests.
       contracts: Its contracts, as they are written.
       http_port: HTTP port of the first entry VM.
+      vm_count: Number of entry VMs.
     """
 
-    __slots__ = ("contracts", "http_port", "name", "run", "search", "zones")
+    __slots__ = (
+        "contracts",
+        "http_port",
+        "name",
+        "run",
+        "search",
+        "vm_count",
+        "zones",
+    )
 
-    def __init__(self, name, zones, search, run, contracts, http_port):
+    def __init__(
+        self,
+        name: str,
+        zones: list[str],
+        search: list[SearchBackend],
+        run: list[RunBackend],
+        contracts: list[dict],
+        http_port: int,
+        vm_count: int = 5,
+    ):
+        self.vm_count = vm_count
         self.name = name
         self.zones = zones
         self.search = search
@@ -131,7 +149,7 @@
 
 def _vms(deployment: Deployment) -> list[dict]:
     vms = []
-    for number in range(5):
+    for number in range(deployment.vm_count):
         port = deployment.http_port + 10 * number
         vms.append(
             {
--- a/citrondoor/standins/soak.py
+++ b/citrondoor/standins/soak.py
@@ -98,12 +98,14 @@
       seed: Seed of load and faults.
       minutes: Length of the run.
       address: Loopback number to run on.
+      fault_names: Faults to choose from; empty takes all.
     """
 
     __slots__ = (
         "_contracts_text",
         "_directory",
         "_ends_at",
+        "_fault_names",
         "_log",
         "_minutes",
         "_out_zones",
@@ -116,8 +118,14 @@
     )
 
     def __init__(
-        self, directory: pathlib.Path, seed: int, minutes: float, address: str
+        self,
+        directory: pathlib.Path,
+        seed: int,
+        minutes: float,
+        address: str,
+        fault_names: tuple[str, ...] = (),
     ):
+        self._fault_names = fault_names
         self._directory = directory
         self._minutes = minutes
         self._source = random.Random(seed)
@@ -252,24 +260,24 @@
             self._report.unresolved[customer] += 1
 
     async def _break_things(self) -> None:
-        faults = [
-            self._crash,
-            self._crash,
-            self._pause,
-            self._restart,
-            self._partition,
-            self._zone_cycle,
-            self._change_contract,
-            self._platform_down,
-            self._platform_stale,
-            self._searchers_cold,
-            self._searchers_straggle,
-            self._snapshot_missing,
-            self._searchers_down,
-        ]
+        faults = {
+            "crash": self._crash,
+            "pause": self._pause,
+            "restart": self._restart,
+            "partition": self._partition,
+            "zone out": self._zone_cycle,
+            "contract changed": self._change_contract,
+            "platform down": self._platform_down,
+            "platform stale": self._platform_stale,
+            "searchers cold": self._searchers_cold,
+            "searchers straggle": self._searchers_straggle,
+            "snapshot missing": self._snapshot_missing,
+            "searchers down": self._searchers_down,
+        }
+        names = self._fault_names or tuple(faults)
         while time.monotonic() < self._ends_at:
             await asyncio.sleep(self._source.uniform(*FAULT_EVERY_S))
-            fault = self._source.choice(faults)
+            fault = faults[self._source.choice(names)]
             task = asyncio.create_task(fault())
             self._tasks.add(task)
             task.add_done_callback(self._on_fault_end)
