--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -347,8 +347,13 @@
         self.bytes_sent = 0
         self.bytes_received = 0
 
+    @property
+    def port(self) -> int:
+        """TCP port that it listens on."""
+        return self._server.sockets[0].getsockname()[1]
+
     async def start(self, address: str, port: int) -> None:
-        """Listens for peers."""
+        """Listens for peers; port 0 takes a free one."""
         self._server = await asyncio.start_server(self._serve, address, port)
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/engine/test_service.py
@@ -0,0 +1,276 @@
+import asyncio
+
+import pytest
+import pytest_bdd
+from pytest_bdd import parsers
+
+from citrondoor.schema import declarations
+from citrondoor.schema import messages
+from tests import fakes
+from tests import samples
+
+pytest_bdd.scenarios("features/promises.feature")
+
+OUTCOME = messages.SubOutcome
+
+
+@pytest.fixture
+def outcomes() -> list:
+    return []
+
+
+@pytest_bdd.given("a fleet of three daemons", target_fixture="fleet")
+def a_fleet():
+    return fakes.Fleet()
+
+
+@pytest_bdd.given(
+    parsers.parse(
+        "a fleet of three daemons with {quantity:d} requests a month"
+    ),
+    target_fixture="fleet",
+)
+def a_fleet_with_quantity(quantity):
+    documents = fakes.fleet_documents()
+    contract = documents[4].contracts.contracts[0]
+    contract.monthly_quantity = quantity
+    contract.burst = 5
+    return fakes.Fleet(documents)
+
+
+@pytest_bdd.given(parsers.parse("a session of {vm}"), target_fixture="session")
+def a_session(fleet, vm):
+    return fleet.daemons[vm].sessions.issue()
+
+
+@pytest_bdd.given("both replicas of shard s0 fail")
+def replicas_fail(fleet):
+    fleet.searchers.outcomes = {
+        "desk-0": OUTCOME.FAILED,
+        "desk-1": OUTCOME.FAILED,
+    }
+
+
+@pytest_bdd.given(parsers.parse("{vm} is cut off from its peers"))
+def cut_off(fleet, vm):
+    others = [name for name in fleet.daemons if name != vm]
+    fleet.network.cut = {frozenset((vm, other)) for other in others}
+
+
+@pytest_bdd.given(parsers.parse("{vm} was paused"))
+def was_paused(fleet, vm):
+    fleet.clock.advance(1500)
+
+
+@pytest_bdd.given(parsers.parse("{vm} has crashed"))
+def has_crashed(fleet, vm):
+    fleet.crash(vm)
+
+
+@pytest_bdd.given(parsers.parse("{vm} was replaced"))
+def was_replaced(fleet, vm):
+    fleet.replace(vm, 2)
+
+
+@pytest_bdd.given(parsers.parse("{vm} has closed its doors"))
+def has_closed(fleet, vm):
+    fleet.daemons[vm].admission.is_closed = True
+
+
+@pytest_bdd.given(parsers.parse("searcher {name} sheds"))
+def sheds(fleet, name):
+    fleet.searchers.outcomes[name] = OUTCOME.SHED
+
+
+@pytest_bdd.given("every searcher of notices fails")
+def notices_fail(fleet):
+    for name in ("notices-0", "notices-1"):
+        fleet.searchers.outcomes[name] = OUTCOME.FAILED
+
+
+def publish_zones(fleet, *out):
+    revision = fleet.daemons["vm-0"].store.revision + 1
+    document = declarations.Document(
+        "zones", revision, zones=samples.zones(*out)
+    )
+    for daemon in fleet.daemons.values():
+        daemon.adopt([document])
+
+
+@pytest_bdd.given(parsers.parse("the operators take zone {zone} out"))
+@pytest_bdd.when(parsers.parse("the operators take zone {zone} out"))
+def zone_out(fleet, zone):
+    publish_zones(fleet, zone)
+
+
+@pytest_bdd.when("the operators bring every zone back")
+def zones_back(fleet):
+    publish_zones(fleet)
+
+
+def search(fleet, outcomes, vm, request):
+    work = fleet.daemons[vm].service.search(samples.KEY, request)
+    outcomes.append(asyncio.run(work))
+
+
+@pytest_bdd.when(parsers.parse("a caller searches at {vm}"))
+def searches(fleet, outcomes, vm):
+    search(fleet, outcomes, vm, fleet.search_request())
+
+
+@pytest_bdd.when(parsers.parse("a caller with little time searches at {vm}"))
+def searches_shortly(fleet, outcomes, vm):
+    request = fleet.search_request()
+    # The fake clock stands still: only the policy's end ends the query.
+    fleet.daemons[vm].search_engine.view.clock = Ticking(fleet.clock)
+    request.deadline_at = fleet.clock.now() + 200
+    search(fleet, outcomes, vm, request)
+
+
+class Ticking:
+    """A clock that moves by 1 ms with each reading."""
+
+    def __init__(self, clock):
+        self._clock = clock
+
+    def now(self):
+        self._clock.advance(1)
+        return self._clock.now()
+
+    def wall(self):
+        return self._clock.wall()
+
+
+@pytest_bdd.when(parsers.parse("a caller without patience searches at {vm}"))
+def searches_impatiently(fleet, outcomes, vm):
+    request = fleet.search_request()
+    request.deadline_at = fleet.clock.now()
+    search(fleet, outcomes, vm, request)
+
+
+@pytest_bdd.when("a caller sends the same search to every daemon")
+def same_search(fleet, outcomes):
+    for vm in fleet.daemons:
+        search(fleet, outcomes, vm, fleet.search_request(number=77))
+
+
+@pytest_bdd.when(parsers.parse("a caller searches {times:d} times at {vm}"))
+def searches_often(fleet, outcomes, times, vm):
+    for _ in range(times):
+        search(fleet, outcomes, vm, fleet.search_request())
+        fleet.fill()
+
+
+@pytest_bdd.when("a caller sends the same run to every daemon")
+def same_run(fleet, outcomes, session):
+    for vm in fleet.daemons:
+        send_run(fleet, outcomes, session, vm)
+
+
+@pytest_bdd.when(parsers.parse("a caller sends a run to {vm}"))
+def send_run(fleet, outcomes, session, vm):
+    work = fleet.daemons[vm].service.run(
+        samples.KEY, fleet.run_request(session)
+    )
+    outcomes.append(asyncio.run(work))
+
+
+@pytest_bdd.then(
+    parsers.parse("the answer covers every shard of snapshot {name}")
+)
+def covers_all(outcomes, name):
+    answer = outcomes[-1].unwrap()
+    assert answer.snapshot == name
+    assert answer.coverage.missing == []
+    assert answer.coverage.shards_answered == 4
+    assert answer.receipt.counted
+
+
+@pytest_bdd.then("the request stands in the ledgers of all three daemons once")
+def stands_everywhere(fleet):
+    assert [fleet.total(vm) for vm in fleet.daemons] == [1, 1, 1]
+
+
+@pytest_bdd.then("every answer has a receipt")
+def has_receipts(outcomes):
+    receipts = [outcome.unwrap().receipt for outcome in outcomes]
+    assert all(receipt.counted for receipt in receipts)
+    assert [r.repeated for r in receipts] == [False] + [True] * (
+        len(receipts) - 1
+    )
+
+
+@pytest_bdd.then(parsers.parse("no searcher of zone {zone} was called"))
+def not_called(fleet, zone):
+    searchers = fleet.daemons["vm-0"].view.catalogue.searchers
+    called = {searchers[name].zone for name, _ in fleet.searchers.calls}
+    assert called
+    assert zone not in called
+
+
+@pytest_bdd.then("no searcher was called")
+def none_called(fleet):
+    assert fleet.searchers.calls == []
+
+
+@pytest_bdd.then("exactly one searcher was called")
+def one_called(fleet):
+    assert len(fleet.searchers.calls) == 1
+
+
+@pytest_bdd.then(
+    parsers.parse("the answer states that {one} and {two} are missing")
+)
+def states_missing(outcomes, one, two):
+    coverage = outcomes[-1].unwrap().coverage
+    assert coverage.missing == [one, two]
+    assert coverage.shards_answered == 2
+    assert coverage.records_answered == coverage.records_total - 10 - 13
+
+
+def refusal_of(outcomes, kind):
+    refusal = outcomes[-1].unwrap_err()
+    assert messages.RefusalKind(refusal.kind).name.lower() == kind
+    assert refusal.remedy
+    return refusal
+
+
+@pytest_bdd.then(
+    parsers.parse("the request is refused as {kind} and did not run")
+)
+def refused_not_run(outcomes, kind):
+    assert refusal_of(outcomes, kind).ran == messages.Ran.NO
+
+
+@pytest_bdd.then(
+    parsers.parse("the request is refused as {kind} and may have run")
+)
+def refused_unknown(outcomes, kind):
+    assert refusal_of(outcomes, kind).ran == messages.Ran.UNKNOWN
+
+
+@pytest_bdd.then(parsers.parse("the request is refused as {kind:w}"))
+def refused(outcomes, kind):
+    refusal_of(outcomes, kind)
+
+
+@pytest_bdd.then("the remedy names the other entries")
+def names_others(outcomes):
+    remedy = outcomes[-1].unwrap_err().remedy
+    assert "127.0.0.1:8001" in remedy
+    assert "127.0.0.1:8002" in remedy
+
+
+@pytest_bdd.then(
+    parsers.parse(
+        "{answered:d} requests are answered and {refused:d} refused as {kind}"
+    )
+)
+def tally(outcomes, answered, refused, kind):
+    assert sum(outcome.is_ok() for outcome in outcomes) == answered
+    kinds = [
+        messages.RefusalKind(o.unwrap_err().kind).name.lower()
+        for o in outcomes
+        if o.is_err()
+    ]
+    assert kinds == [kind] * refused
