Say truthfully what a joining daemon and a lost arbiter know

Cause: three soaks of 5 minutes ended with 2-3 requests refused as unauthenticated, by daemons that had not read the contracts yet, and with up to 8 counted runs whose arbiter was lost, so that their callers held no receipt. Change: a daemon refuses as not_ready until it has joined (for a run: may have run); a refusal for a lost arbiter carries the receipt when any daemon has counted the id. The soak asks again under the same ids at its end and then wants counts equal to receipts. Also here: callers' bad input is tested over a real socket.

--- a/citrondoor/codecs/callers.py
+++ b/citrondoor/codecs/callers.py
@@ -154,7 +154,7 @@
             "remedy": refusal.remedy,
             "ran": messages.Ran(refusal.ran).name.lower(),
             "retry_after_ms": refusal.retry_after_ms,
-            "counted": refusal.counted,
+            "receipt": _receipt(refusal.receipt),
         }
     )
 
--- a/citrondoor/counting/_ledger.py
+++ b/citrondoor/counting/_ledger.py
@@ -89,6 +89,19 @@
                 self._digests[key.bucket] = None
         return added
 
+    def month_of(
+        self, customer: str, request_id: messages.RequestId
+    ) -> str | None:
+        """Returns the month in which a request counts, or None."""
+        months = [
+            key.month
+            for key, numbers in self._sets.items()
+            if key.session == request_id.session
+            and key.customer == customer
+            and request_id.number in numbers
+        ]
+        return min(months, default=None)
+
     def digests(self) -> list[int]:
         """Returns one hash a bucket of sessions, equal for equal contents."""
         for bucket, digest in enumerate(self._digests):
--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -116,7 +116,7 @@
         await self._join()
         if not self._stopping.is_set():
             self._start_task(self._counts.run())
-            self._admission.is_closed = False
+            self._admission.doors = engine.Doors.OPEN
             self._lifecycle.serve()
             await self._stopping.wait()
         await self._leave()
@@ -198,7 +198,6 @@
             self._quantities,
             self._settings.callers.max_concurrent,
         )
-        self._admission.is_closed = True
 
     def _build_engines(self) -> None:
         settings = self._settings
@@ -351,7 +350,7 @@
         # Callers may use an answer of /v1/entries until it expires.
         ttl_ms = self._settings.callers.entries_ttl_ms
         await self._wait_or_second_signal(ttl_ms)
-        self._admission.is_closed = True
+        self._admission.doors = engine.Doors.LEAVING
         await self._wait_for_requests()
         await self._run_engine.finish_running()
         await self._counts.hand_over()
--- a/citrondoor/engine/__init__.py
+++ b/citrondoor/engine/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from citrondoor.engine._admission import Admission
+from citrondoor.engine._admission import Doors
 from citrondoor.engine._configuration import ConfigurationKeeper
 from citrondoor.engine._counting import CountKeeper
 from citrondoor.engine._leases import LeaseKeeper
@@ -20,6 +21,7 @@
     "Admission",
     "ConfigurationKeeper",
     "CountKeeper",
+    "Doors",
     "LeaseKeeper",
     "Peering",
     "QuantityKeeper",
--- a/citrondoor/engine/_admission.py
+++ b/citrondoor/engine/_admission.py
@@ -1,6 +1,7 @@
 """Decides whether this daemon takes a request, in one fixed order."""
 
 import asyncio
+import enum
 import hashlib
 
 import result
@@ -21,6 +22,14 @@
 CONFIRM_POLL_MS = 20
 
 
+class Doors(enum.IntEnum):
+    """Whether a daemon takes requests."""
+
+    JOINING = 1
+    OPEN = 2
+    LEAVING = 3
+
+
 class Admission:
     """Admits requests of customers.
 
@@ -38,8 +47,8 @@
         "_quantities",
         "_rates",
         "_view",
+        "doors",
         "in_flight",
-        "is_closed",
     )
 
     def __init__(
@@ -56,7 +65,7 @@
         self._quantities = quantities
         self._max_concurrent = max_concurrent
         self.in_flight = 0
-        self.is_closed = False
+        self.doors = Doors.JOINING
 
     def authenticate(
         self, key: str
@@ -86,7 +95,9 @@
 
     def check_room(self) -> messages.Refusal | None:
         """Returns why this daemon takes no request now, or None."""
-        if self.is_closed:
+        if self.doors == Doors.JOINING:
+            return refusals.not_ready("this entry has not joined the fleet")
+        if self.doors == Doors.LEAVING:
             return refusals.leaving()
         if not self._view.catalogue.is_vm_in(self._view.vm):
             return refusals.zone_out(self._view.zone, self._others())
--- a/citrondoor/engine/_counting.py
+++ b/citrondoor/engine/_counting.py
@@ -125,6 +125,18 @@
         self.stored_count += 1
         return messages.Receipt(True, month, request_id, not is_new)
 
+    async def find_receipt(
+        self, customer: str, request_id: messages.RequestId
+    ) -> messages.Receipt | None:
+        """Returns the receipt of a request that some daemon has counted."""
+        month = self._ledger.month_of(customer, request_id)
+        if month is None:
+            await self.recover()
+            month = self._ledger.month_of(customer, request_id)
+        if month is None:
+            return None
+        return messages.Receipt(True, month, request_id, True)
+
     async def store_use(self, customer: str, month: str) -> bool:
         """Stores this VM's quantity use on peers; returns whether it stands."""
         pending = self._pending or self._open_batch()
--- a/citrondoor/engine/_runs.py
+++ b/citrondoor/engine/_runs.py
@@ -91,8 +91,24 @@
         if session is None:
             return result.Err(refusals.session_unknown())
         if session.vm == self._view.vm:
-            return await self._arbitrate(session, request, contract)
-        return await self._forward(session, request, contract)
+            outcome = await self._arbitrate(session, request, contract)
+        else:
+            outcome = await self._forward(session, request, contract)
+        if outcome.is_err():
+            await self._add_receipt(outcome.unwrap_err(), request, contract)
+        return outcome
+
+    async def _add_receipt(
+        self,
+        refusal: messages.Refusal,
+        request: messages.RunRequest,
+        contract: declarations.Contract,
+    ) -> None:
+        """Says whether a request of unknown outcome was counted."""
+        if refusal.kind == messages.RefusalKind.ARBITER_GONE:
+            refusal.receipt = await self._counts.find_receipt(
+                contract.customer, request.id
+            )
 
     async def finish_running(self) -> None:
         """Waits until every request that was started has ended."""
--- a/citrondoor/engine/_service.py
+++ b/citrondoor/engine/_service.py
@@ -64,6 +64,10 @@
         self, key: str, request: messages.SearchRequest
     ) -> result.Result[messages.SearchAnswer, messages.Refusal]:
         """Returns an answer with its receipt, or a refusal."""
+        # A daemon that is joining does not know the contracts yet.
+        closed = self._admission.check_room()
+        if closed is not None:
+            return result.Err(closed)
         authenticated = self._admission.authenticate(key)
         if authenticated.is_err():
             return authenticated
@@ -84,6 +88,8 @@
         self, key: str, request: messages.RunRequest
     ) -> result.Result[messages.RunAnswer, messages.Refusal]:
         """Runs a non-idempotent request at most once."""
+        if self._admission.doors == _admission.Doors.JOINING:
+            return result.Err(refusals.cannot_arbitrate())
         authenticated = self._admission.authenticate(key)
         if authenticated.is_err():
             return authenticated
@@ -130,9 +136,7 @@
         self, request: messages.SearchRequest, contract: declarations.Contract
     ) -> messages.Refusal | None:
         admission = self._admission
-        refusal = admission.check_room()
-        if refusal is None:
-            refusal = await admission.confirm_view(request.deadline_at)
+        refusal = await admission.confirm_view(request.deadline_at)
         # The pause may have hidden that the operators took this zone out.
         refusal = refusal or admission.check_room()
         if refusal is None:
@@ -165,7 +169,7 @@
             if receipt is None:
                 self._admission.give_back(contract)
             else:
-                found.unwrap_err().counted = True
+                found.unwrap_err().receipt = receipt
             return found
         if receipt is None:
             self._admission.give_back(contract)
--- a/citrondoor/front/_server.py
+++ b/citrondoor/front/_server.py
@@ -106,6 +106,12 @@
         """Starts listening."""
         self._task = asyncio.create_task(self._server.serve())
 
+    async def wait_port(self) -> int:
+        """Returns the TCP port once it listens; for port 0."""
+        while not self._server.started:
+            await asyncio.sleep(0)
+        return self._server.servers[0].sockets[0].getsockname()[1]
+
     async def close(self) -> None:
         """Ends after the requests in flight have been answered."""
         self._server.should_exit = True
--- a/citrondoor/refusals.py
+++ b/citrondoor/refusals.py
@@ -165,6 +165,20 @@
     )
 
 
+def cannot_arbitrate() -> messages.Refusal:
+    """A daemon that has not joined cannot ask the arbiter of a run.
+
+    An earlier attempt may have run, so this is no "not run".
+    """
+    return messages.Refusal(
+        _Kind.NOT_READY,
+        "this entry has not joined the fleet and cannot ask the arbiter",
+        "send the same request again, to another entry of /v1/entries",
+        _UNKNOWN,
+        NOT_READY_RETRY_MS,
+    )
+
+
 def no_snapshot(backend: str) -> messages.Refusal:
     """No snapshot of the back end is declared."""
     return messages.Refusal(
--- a/citrondoor/standins/client.py
+++ b/citrondoor/standins/client.py
@@ -12,6 +12,10 @@
 # A caller gives up on one attempt this long after its deadline.
 EXTRA_WAIT_MS = 1000
 RETRY_PAUSE_MS = 50
+# Refusals after which a run goes to another arbiter, under a new id.
+MOVE_ON_KINDS = ("zone_out", "leaving")
+MAX_NEW_IDS = 5
+RESOLVE_PATIENCE_MS = 10_000
 
 
 class Outcome:
@@ -45,9 +49,7 @@
     def is_counted(self) -> bool:
         """Whether the caller holds a word that the request was counted."""
         receipt = self.content.get("receipt")
-        if receipt is not None:
-            return receipt["counted"]
-        return self.content.get("counted", False)
+        return receipt is not None and receipt["counted"]
 
 
 class Caller:
@@ -121,9 +123,14 @@
 
     async def renew_session(self) -> None:
         """Takes a new session, for instance after an arbiter is gone."""
-        self._session = ""
         self._expires_at = 0
+        self._session = ""
         self._number = 0
+        # The first entry named is in service; it gives the session.
+        places = await self.entries()
+        self._seeds = [*places, *(s for s in self._seeds if s not in places)]
+        self._expires_at = 0
+        self._session = ""
         await self.entries()
 
     async def search(
@@ -165,16 +172,31 @@
         patience_ms: int = 10_000,
         entry: str = "",
     ) -> Outcome:
-        """Runs a non-idempotent request; repeats keep the same id."""
+        """Runs a non-idempotent request; repeats keep the same id.
+
+        What was refused as not run by an arbiter out of service is sent under
+        a new id.
+        """
         await self.entries()
-        content = {
-            "id": self.next_id(),
-            "backend": backend,
-            "body": body,
-            "deadline_ms": deadline_ms,
-        }
+        for _ in range(MAX_NEW_IDS):
+            content = {
+                "id": self.next_id(),
+                "backend": backend,
+                "body": body,
+                "deadline_ms": deadline_ms,
+            }
+            outcome = await self._persist(
+                "/v1/run", content, patience_ms, entry, is_run=True
+            )
+            if outcome.content.get("refused") not in MOVE_ON_KINDS:
+                return outcome
+            await self.renew_session()
+        return outcome
+
+    async def ask_again(self, path: str, content: dict) -> Outcome:
+        """Sends an earlier request again, under its id."""
         return await self._persist(
-            "/v1/run", content, patience_ms, entry, is_run=True
+            path, content, RESOLVE_PATIENCE_MS, "", path == "/v1/run"
         )
 
     async def _persist(
--- a/citrondoor/standins/soak.py
+++ b/citrondoor/standins/soak.py
@@ -90,6 +90,20 @@
         }
 
 
+class _OpenRequest:
+    """A request whose caller has no receipt yet."""
+
+    __slots__ = ("caller", "content", "customer", "path")
+
+    def __init__(
+        self, caller: client.Caller, customer: str, path: str, content: dict
+    ):
+        self.caller = caller
+        self.customer = customer
+        self.path = path
+        self.content = content
+
+
 class Soak:
     """One randomised run.
 
@@ -108,6 +122,7 @@
         "_fault_names",
         "_log",
         "_minutes",
+        "_open",
         "_out_zones",
         "_report",
         "_rig",
@@ -128,6 +143,7 @@
         self._fault_names = fault_names
         self._directory = directory
         self._minutes = minutes
+        self._open: list[_OpenRequest] = []
         self._source = random.Random(seed)
         self._report = SoakReport(seed)
         command = [sys.executable, "-m", "citrondoor.standins.faulty_daemon"]
@@ -169,6 +185,7 @@
         if self._tasks:
             await asyncio.wait(list(self._tasks))
         await asyncio.sleep(SETTLE_S)
+        await self._resolve_open()
         self._compare()
         for caller, _, _ in callers:
             await caller.close()
@@ -225,6 +242,9 @@
         outcome = await caller.search(
             backend, query, 1500, top, patience_ms=PATIENCE_MS
         )
+        if not outcome.is_counted:
+            content = {"backend": backend, "query": query, "top": top}
+            self._keep_open(caller, customer, "/v1/search", outcome, content)
         self._note(customer, outcome)
         if outcome.status != 200:
             return
@@ -241,6 +261,9 @@
         self, caller: client.Caller, customer: str, backend: str
     ) -> None:
         outcome = await caller.run(backend, "notice", patience_ms=PATIENCE_MS)
+        if not outcome.is_counted:
+            content = {"backend": backend, "body": "notice"}
+            self._keep_open(caller, customer, "/v1/run", outcome, content)
         self._note(customer, outcome)
         kind = "answered"
         if outcome.status != 200:
@@ -249,6 +272,27 @@
         if outcome.content.get("refused") == "arbiter_gone":
             await caller.renew_session()
 
+    def _keep_open(
+        self,
+        caller: client.Caller,
+        customer: str,
+        path: str,
+        outcome: client.Outcome,
+        content: dict,
+    ) -> None:
+        request = {"id": outcome.request_id, "deadline_ms": 2000, **content}
+        self._open.append(_OpenRequest(caller, customer, path, request))
+
+    async def _resolve_open(self) -> None:
+        """Asks again, under the same ids, for what has no receipt yet."""
+        for request in self._open:
+            outcome = await request.caller.ask_again(
+                request.path, request.content
+            )
+            if outcome.is_counted:
+                self._report.receipts[request.customer] += 1
+                self._report.unresolved[request.customer] -= 1
+
     def _note(self, customer: str, outcome: client.Outcome) -> None:
         kind = outcome.content.get("refused", "no answer")
         if outcome.status == 200:
@@ -451,8 +495,7 @@
             report.problems.append(f"counts lack {counts['unheard']}")
         for customer, receipts in report.receipts.items():
             counted = report.counted.get(customer, 0)
-            most = receipts + report.unresolved[customer]
-            if not receipts <= counted <= most:
+            if counted != receipts:
                 report.problems.append(
                     f"{customer}: counted {counted}, receipts {receipts},"
                     f" unresolved {report.unresolved[customer]}"
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -94,7 +94,8 @@
   3: required string remedy
   4: required Ran ran
   5: optional i32 retry_after_ms
-  6: bool counted = false
+  // Set when the request was counted although it has no answer.
+  6: optional Receipt receipt
 }
 
 // One sub-request to one searcher, for every shard that the query takes from it.
--- a/tests/engine/features/promises.feature
+++ b/tests/engine/features/promises.feature
@@ -105,3 +105,25 @@
     And vm-0 has closed its doors
     When a caller searches at vm-0
     Then the request is refused as leaving and did not run
+
+  Scenario: A daemon that has not joined refuses searches truthfully
+    Given a fleet of three daemons
+    And vm-0 has not joined yet
+    When a caller searches at vm-0
+    Then the request is refused as not_ready and did not run
+
+  Scenario: A daemon that has not joined cannot say that a run did not run
+    Given a fleet of three daemons
+    And a session of vm-1
+    And vm-0 has not joined yet
+    When a caller sends a run to vm-0
+    Then the request is refused as not_ready and may have run
+
+  Scenario: The count of a run survives its arbiter
+    Given a fleet of three daemons
+    And a session of vm-1
+    When a caller sends a run to vm-1
+    And vm-1 has crashed
+    And a caller sends a run to vm-0
+    Then the request is refused as arbiter_gone and may have run
+    And the refusal has a receipt
--- a/tests/engine/test_service.py
+++ b/tests/engine/test_service.py
@@ -4,6 +4,7 @@
 import pytest_bdd
 from pytest_bdd import parsers
 
+from citrondoor import engine
 from citrondoor.schema import declarations
 from citrondoor.schema import messages
 from tests import fakes
@@ -63,6 +64,7 @@
 
 
 @pytest_bdd.given(parsers.parse("{vm} has crashed"))
+@pytest_bdd.when(parsers.parse("{vm} has crashed"))
 def has_crashed(fleet, vm):
     fleet.crash(vm)
 
@@ -74,7 +76,12 @@
 
 @pytest_bdd.given(parsers.parse("{vm} has closed its doors"))
 def has_closed(fleet, vm):
-    fleet.daemons[vm].admission.is_closed = True
+    fleet.daemons[vm].admission.doors = engine.Doors.LEAVING
+
+
+@pytest_bdd.given(parsers.parse("{vm} has not joined yet"))
+def has_not_joined(fleet, vm):
+    fleet.daemons[vm].admission.doors = engine.Doors.JOINING
 
 
 @pytest_bdd.given(parsers.parse("searcher {name} sheds"))
@@ -254,6 +261,11 @@
     refusal_of(outcomes, kind)
 
 
+@pytest_bdd.then("the refusal has a receipt")
+def refusal_has_receipt(outcomes):
+    assert outcomes[-1].unwrap_err().receipt.counted
+
+
 @pytest_bdd.then("the remedy names the other entries")
 def names_others(outcomes):
     remedy = outcomes[-1].unwrap_err().remedy
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -85,6 +85,7 @@
     run_head = b""
     search_head = b""
     cancel_head = b""
+    connection_count = 1
 
     def __init__(self, name: str, searchers: Searchers):
         self.name = name
@@ -198,6 +199,7 @@
         self.admission = engine.Admission(
             self.view, self.rates, leases, quantities, 100
         )
+        self.admission.doors = engine.Doors.OPEN
         self.pool = Pool(searchers)
         self.search_engine = engine.SearchEngine(
             self.view,
--- /dev/null
+++ b/tests/front/test_app.py
@@ -0,0 +1,169 @@
+"""Bad input of callers, over a real socket."""
+
+import asyncio
+import hashlib
+
+import orjson
+import pytest
+
+from citrondoor import front
+from citrondoor import telemetry
+from citrondoor.schema import settings as schema_settings
+from tests import fakes
+from tests import samples
+
+OPERATOR_KEY = "operators"
+SETTINGS = schema_settings.CallerSettings(
+    max_body_bytes=2000, header_timeout_ms=100, body_timeout_ms=100
+)
+
+
+class Site:
+    """A front over a fleet without sockets."""
+
+    def __init__(self):
+        self.fleet = fakes.Fleet()
+        daemon = self.fleet.daemons["vm-0"]
+        status = front.StatusSource(
+            daemon.view, daemon.pool, 1, lambda: "serving", lambda: 1, {}
+        )
+        parts = front.Front(
+            daemon.service,
+            status,
+            telemetry.Metrics("vm-0", "za"),
+            self.fleet.clock,
+            SETTINGS,
+            hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
+        )
+        self.server = front.FrontServer(
+            front.make_app(parts), "127.0.0.1", 0, SETTINGS
+        )
+        self.port = 0
+
+    async def start(self):
+        await self.server.start()
+        self.port = await self.server.wait_port()
+
+    async def exchange(self, data: bytes) -> tuple[int, dict]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(data)
+        received = await reader.read()
+        writer.close()
+        head, _, body = received.partition(b"\r\n\r\n")
+        if not head:
+            return 0, {}
+        return int(head.split()[1]), orjson.loads(body)
+
+
+def request(path: str, body: bytes, key: str = samples.KEY, length=None):
+    size = len(body) if length is None else length
+    head = (
+        f"POST {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+        f"authorization: Bearer {key}\r\ncontent-length: {size}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def search_body(number: int = 1, **changes) -> bytes:
+    content = {"id": f"s.{number}", "backend": "desk", "query": "q"}
+    return orjson.dumps({**content, **changes})
+
+
+def run(scenario):
+    async def wrapped():
+        site = Site()
+        await site.start()
+        try:
+            await scenario(site)
+        finally:
+            await site.server.close()
+
+    asyncio.run(wrapped())
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "kind"),
+    [
+        (request("/v1/search", b"{"), 400, "malformed"),
+        (request("/v1/search", b"x" * 3000), 413, "too_large"),
+        (
+            request("/v1/search", search_body(), length=1500),
+            408,
+            "too_slow",
+        ),
+        (request("/v1/search", search_body(), key="x"), 401, "unauthenticated"),
+        (
+            request("/v1/search", search_body(backend="vault")),
+            403,
+            "forbidden_backend",
+        ),
+        (
+            request("/v1/search", search_body(backend="notices")),
+            403,
+            "forbidden_backend",
+        ),
+        (request("/v1/run", orjson.dumps({"id": "s.1"})), 400, "malformed"),
+        (
+            request(
+                "/v1/run",
+                orjson.dumps(
+                    {"id": "mine.1", "backend": "notices", "body": "b"}
+                ),
+            ),
+            400,
+            "malformed",
+        ),
+    ],
+)
+def test_bad_input_is_one_typed_refusal_and_disturbs_nobody(data, status, kind):
+    async def scenario(site):
+        good = request("/v1/search", search_body())
+        bad, answered = await asyncio.gather(
+            site.exchange(data), site.exchange(good)
+        )
+        assert bad[0] == status
+        assert bad[1]["refused"] == kind
+        assert bad[1]["ran"] == "no"
+        assert bad[1]["remedy"]
+        assert answered[0] == 200
+        assert answered[1]["receipt"]["counted"]
+
+    run(scenario)
+
+
+def test_a_connection_with_a_slow_head_is_closed():
+    async def scenario(site):
+        status, _ = await site.exchange(b"POST /v1/search HTTP/1.1\r\nhost:")
+        assert status == 0
+        assert site.server.slow_count == 1
+        silent, _ = await site.exchange(b"")
+        assert silent == 0
+
+    run(scenario)
+
+
+def test_operators_routes_need_the_operators_key():
+    async def scenario(site):
+        for path in ("status", "timeline", "configuration", "counts?month=x"):
+            get = f"GET /v1/{path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+            refused = await site.exchange(f"{get}\r\n".encode())
+            assert refused[0] == 401
+            with_key = f"{get}authorization: Bearer {OPERATOR_KEY}\r\n\r\n"
+            allowed = await site.exchange(with_key.encode())
+            assert allowed[0] == (400 if "counts" in path else 200)
+
+    run(scenario)
+
+
+def test_entries_name_live_daemons_and_a_session():
+    async def scenario(site):
+        get = "GET /v1/entries?zone=zb HTTP/1.1\r\nhost: x\r\n"
+        status, content = await site.exchange(
+            f"{get}connection: close\r\n\r\n".encode()
+        )
+        assert status == 200
+        assert content["entries"][0]["zone"] == "zb"
+        assert len(content["entries"]) == 3
+        assert content["session"].startswith("vm-0~1~")
+
+    run(scenario)
