--- /dev/null
+++ b/benchmarks/bench_cold_start.py
@@ -0,0 +1,94 @@
+"""Cold searchers under load: a whole back end turns cold at once.
+
+`requests_over_capacity` counts what searchers got beyond what they bore.
+`ramp_over_shortest` compares the time until all are warm with the time in which
+the offered load brings each of them the answers that the stand-in needs.
+"""
+
+import asyncio
+import time
+
+import click
+
+from benchmarks import _deployments
+from benchmarks import _report
+from citrondoor import declarations as declared
+from citrondoor.standins import load
+from citrondoor.standins import rig
+
+RATE_PER_S = 100.0
+SECONDS = 10.0
+POLL_S = 0.05
+ANSWERS_PER_SLOT = 10
+LIMIT_S = 9.0
+
+
+async def _wait_warm(deployment: rig.Rig, names: set[str]) -> float:
+    started = time.monotonic()
+    while time.monotonic() - started < LIMIT_S:
+        seen = await asyncio.to_thread(deployment.tallies)
+        if not any(seen[name]["is_cold"] for name in names):
+            break
+        await asyncio.sleep(POLL_S)
+    return time.monotonic() - started
+
+
+def _beyond(deployment: rig.Rig) -> int:
+    seen = deployment.tallies().values()
+    return sum(tally["beyond_cold_capacity"] for tally in seen)
+
+
+async def _measure(
+    deployment: rig.Rig, workload: _deployments.Workload, seed: int
+) -> dict[str, float]:
+    catalogue = declared.Catalogue(declared.read_directory(workload.directory))
+    backend = catalogue.backends[workload.backend]
+    names = {searcher.name for searcher in backend.searchers}
+    groups = catalogue.snapshots[workload.backend][-1].groups
+    plan = workload.plan(RATE_PER_S, patience_ms=5000)
+    sender = load.Load(_deployments.urls(deployment), [plan], seed)
+    steady = (await sender.run(SECONDS / 2))[plan.customer]
+    steady_p99 = steady.percentile_ms(99)
+    moving = asyncio.create_task(sender.run(SECONDS))
+    await asyncio.sleep(1.0)
+    before = _beyond(deployment)
+    change = {"searchers": sorted(names), "turn_cold": True}
+    await asyncio.to_thread(deployment.change_searchers, change)
+    ramp_s = await _wait_warm(deployment, names)
+    result = (await moving)[plan.customer]
+    # Each searcher gets this share of the sub-requests of each query.
+    per_s = RATE_PER_S * len(groups) / len(names)
+    shortest_s = ANSWERS_PER_SLOT * (backend.slots - 1) / per_s
+    return {
+        "requests_over_capacity": _beyond(deployment) - before,
+        "ramp_over_shortest": ramp_s / shortest_s,
+        "ramp_s": ramp_s,
+        "shortest_ramp_s": shortest_s,
+        "coverage_share": result.coverage_share,
+        "p99_over_steady": result.percentile_ms(99) / steady_p99,
+        "queries_lost": result.offered - result.answered,
+    }
+
+
+@click.command()
+@_report.seed_option
+def main(seed: int) -> None:
+    workloads = _deployments.WORKLOADS[: 1 if _report.is_quick() else 2]
+    rows = {}
+    for workload in workloads:
+        with _deployments.running(workload) as deployment:
+            _deployments.warm_up(deployment, workload, seed)
+            rows[workload.name] = asyncio.run(
+                _measure(deployment, workload, seed)
+            )
+    _report.print_report(
+        "cold_start",
+        seed,
+        _deployments.worst(list(rows.values()), {"coverage_share"}),
+        rows,
+        {"requests_over_capacity": 0, "ramp_over_shortest": 1.5},
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/citrondoor/limits/_warmth.py
+++ b/citrondoor/limits/_warmth.py
@@ -15,8 +15,11 @@
 from citrondoor.schema import messages
 
 START_LEVEL = 1
-# Good answers at one level before the warden raises it, for each call of it.
-ANSWERS_PER_LEVEL = 6
+# Good answers at one level before the warden raises it. Doubles for a searcher
+# that fell again while it was warming up or soon after.
+ANSWERS_PER_LEVEL = 12
+MAX_ANSWERS_PER_LEVEL = 384
+RELAPSE_MS = 5000
 UNLIMITED = 1 << 30
 # Levels sent with one heartbeat, and how often each change is sent for each
 # doubling of the fleet.
@@ -35,6 +38,7 @@
 
     __slots__ = (
         "answered",
+        "answers_per_level",
         "calls",
         "calls_until",
         "full_level",
@@ -55,6 +59,7 @@
         self.full_level = full_level
         # As the warden.
         self.reported = 0
+        self.answers_per_level = ANSWERS_PER_LEVEL
         self.lender = _leases.Lender(LEASE_MS)
         self.last_borrower = ""
         self.refused_at: dict[str, int] = {}
@@ -67,6 +72,14 @@
         self.wanted_until = 0
 
 
+class _Warmed:
+    __slots__ = ("answers_per_level", "at")
+
+    def __init__(self, answers_per_level: int, at: int):
+        self.answers_per_level = answers_per_level
+        self.at = at
+
+
 class Warmth:
     """Levels and leases of the searchers that are cold.
 
@@ -74,13 +87,23 @@
       vm: Name of this VM.
     """
 
-    __slots__ = ("_cold", "_full_levels", "_members", "_news", "_vm", "_warm")
+    __slots__ = (
+        "_cold",
+        "_full_levels",
+        "_members",
+        "_news",
+        "_vm",
+        "_warm",
+        "_warmed",
+    )
 
     def __init__(self, vm: str):
         self._vm = vm
         self._cold: dict[str, _Cold] = {}
         # When searchers that are warm now were last cold.
         self._warm: dict[str, int] = {}
+        # How the last warming of searchers ended: what it took, and when.
+        self._warmed: dict[str, _Warmed] = {}
         self._full_levels: dict[str, int] = {}
         self._members: list[str] = [vm]
         # How often each changed level is still to be sent.
@@ -121,11 +144,27 @@
             # What was lent before is still in use.
             cold.lender = known.lender
             cold.wanted_until = known.wanted_until
+        cold.answers_per_level = self._next_answers(searcher, known, now)
         self._set_warden(searcher, cold, now)
         self._cold[searcher] = cold
         self._warm.pop(searcher, None)
         self._spread(searcher)
 
+    def _next_answers(
+        self, searcher: str, known: _Cold | None, now: int
+    ) -> int:
+        """Returns the answers wanted at each level this time."""
+        warmed = self._warmed.get(searcher)
+        if known is not None and known.level > START_LEVEL:
+            before = known.answers_per_level
+        elif known is not None:
+            return known.answers_per_level
+        elif warmed is not None and now - warmed.at < RELAPSE_MS:
+            before = warmed.answers_per_level
+        else:
+            return ANSWERS_PER_LEVEL
+        return min(MAX_ANSWERS_PER_LEVEL, before * 2)
+
     def allowed(self, searcher: str, now: int) -> int:
         """Returns how many calls this daemon may have there at once."""
         cold = self._cold.get(searcher)
@@ -172,7 +211,7 @@
         calls = 0
         cold = self._cold.get(ask.searcher)
         if cold is not None and self._may_grant(cold, now):
-            self._take_report(ask.searcher, cold, ask.answered)
+            self._take_report(ask.searcher, cold, ask.answered, now)
             if ask.calls == 0:
                 cold.lender.release(borrower)
             else:
@@ -225,7 +264,7 @@
             self.note_cold(name, other.cold_since_ms, now)
             cold = self._cold[name]
         if cold is not None and other.level > cold.level:
-            self._raise_to(name, cold, other.level)
+            self._raise_to(name, cold, other.level, now)
 
     def _level_message(self, searcher: str) -> messages.SearcherLevel:
         cold = self._cold.get(searcher)
@@ -271,18 +310,23 @@
             for name, at in cold.refused_at.items()
         )
 
-    def _take_report(self, searcher: str, cold: _Cold, answered: int) -> None:
+    def _take_report(
+        self, searcher: str, cold: _Cold, answered: int, now: int
+    ) -> None:
         cold.reported += answered
-        if cold.reported >= ANSWERS_PER_LEVEL * cold.level:
-            self._raise_to(searcher, cold, cold.level + 1)
+        if cold.reported >= cold.answers_per_level:
+            self._raise_to(searcher, cold, cold.level + 1, now)
 
-    def _raise_to(self, searcher: str, cold: _Cold, level: int) -> None:
+    def _raise_to(
+        self, searcher: str, cold: _Cold, level: int, now: int
+    ) -> None:
         cold.level = level
         cold.reported = 0
         self._spread(searcher)
         if level >= cold.full_level:
             del self._cold[searcher]
             self._warm[searcher] = cold.since_ms
+            self._warmed[searcher] = _Warmed(cold.answers_per_level, now)
 
     def _set_warden(self, searcher: str, cold: _Cold, now: int) -> None:
         ranking = rendezvous.rank(f"warm/{searcher}", self._members)
--- a/citrondoor/standins/searcher.py
+++ b/citrondoor/standins/searcher.py
@@ -40,6 +40,7 @@
         "cold_answers_per_slot",
         "connect_cost_ms",
         "connections",
+        "health_load",
         "is_down",
         "missing_snapshots",
         "service_ms",
@@ -66,6 +67,8 @@
         self.cold_answers_per_slot = 10
         self.missing_snapshots: set[str] = set()
         self.is_down = False
+        # What the health endpoint claims, true or not.
+        self.health_load = 0.0
 
 
 class Tallies:
@@ -75,6 +78,7 @@
         "answered",
         "beyond_cold_capacity",
         "cancelled",
+        "health_reads",
         "last_work_ms",
         "most_connections",
         "refused_connections",
@@ -90,6 +94,7 @@
         self.most_connections = 0
         self.refused_connections = 0
         self.last_work_ms = 0
+        self.health_reads = 0
         self.runs: collections.Counter[str] = collections.Counter()
 
 
@@ -171,6 +176,11 @@
         self.tallies.cancelled += 1
         return True
 
+    def health(self) -> "Reply":
+        """Returns what the health endpoint claims."""
+        self.tallies.health_reads += 1
+        return Reply(200, {"load": self.behaviour.health_load})
+
     async def serve(self, work: dict, is_first: bool) -> "Reply":
         """Returns the reply to one sub-request or run."""
         number = work["id"]
@@ -336,6 +346,8 @@
                 writer.write(reply.encode())
 
     async def _answer(self, path: str, body: bytes, is_first: bool) -> Reply:
+        if path == "/health":
+            return self._searcher.health()
         work = orjson.loads(body)
         if path == "/v1/cancel":
             self._searcher.cancel(work["cancel"])
--- a/tests/limits/test_warmth.py
+++ b/tests/limits/test_warmth.py
@@ -76,6 +76,25 @@
     assert other.is_cold(SEARCHER)
 
 
+def test_a_relapse_asks_for_more_answers_at_each_level():
+    needed = []
+    fleet = fleet_of()
+    warmth = fleet["vm-0"]
+    warmth.set_members(["vm-0"], 0)
+    now = 1000
+    for fall in range(3):
+        warmth.note_cold(SEARCHER, 10_000 + fall, now)
+        answers = 0
+        while warmth.is_cold(SEARCHER):
+            now += 10
+            ask({"vm-0": warmth}, "vm-0", now)
+            warmth.on_answered(SEARCHER)
+            answers += 1
+        needed.append(answers)
+    assert needed[0] < needed[1] < needed[2]
+    assert needed[1] <= 2 * needed[0] + FULL
+
+
 def test_a_new_warden_waits_until_old_leases_have_ended():
     fleet = fleet_of()
     fleet["vm-0"].allowed(SEARCHER, 10)
