--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -142,7 +142,7 @@
             freshness,
             self._recorder,
         )
-        self._warmth = limits.Warmth(settings.vm)
+        self._warmth = limits.Warmth(settings.vm, self._on_cold)
 
     def _build_peering(self, connector) -> None:
         settings = self._settings
@@ -280,6 +280,10 @@
             settings.callers,
         )
 
+    def _on_cold(self) -> None:
+        # The others send to this searcher as well, until they know.
+        self._peering.hurry()
+
     def _on_catalogue(self, catalogue: declared.Catalogue) -> None:
         now = self._clock.now()
         self._peering.set_catalogue(catalogue)
--- a/citrondoor/engine/_peering.py
+++ b/citrondoor/engine/_peering.py
@@ -16,6 +16,8 @@
 
 # Searchers that warmed up longer ago than this are not mentioned any more.
 LEVEL_MEMORY_MS = 60_000
+# Urgent news of about this time leave in one heartbeat, in milliseconds.
+HURRY_MS = 5
 
 
 async def _refuse_unknown(message, sender: str):
@@ -39,6 +41,7 @@
 
     __slots__ = (
         "_connector",
+        "_hurried",
         "_link_settings",
         "_links",
         "_on_revision",
@@ -77,6 +80,7 @@
         self._on_revision: Callable[[links.PeerLink, int], None] | None = None
         self._revision_of: Callable[[], int] = int
         self._platform_read_at: int | None = None
+        self._hurried: asyncio.Future | None = None
         self.garbage_count = 0
         self.server = links.PeerServer(
             link_settings, self._answer, self._on_garbage
@@ -193,6 +197,19 @@
         self._warmth.set_members(self._view.members.live(), now)
         self._warmth.forget_before(self._view.clock.wall() - LEVEL_MEMORY_MS)
 
+    def hurry(self) -> None:
+        """Sends heartbeats soon: there is news that cannot wait."""
+        if self._hurried is None or self._hurried.done():
+            self._hurried = asyncio.ensure_future(self._beat_all_soon())
+
+    async def _beat_all_soon(self) -> None:
+        await asyncio.sleep(HURRY_MS / clocks.MS_PER_S)
+        links_up = [self.link_to(vm) for vm in self._view.members.neighbours]
+        await asyncio.gather(
+            *(self.beat(link) for link in links_up if link is not None),
+            return_exceptions=True,
+        )
+
     async def beat(self, link: links.PeerLink) -> None:
         """Exchanges one heartbeat.
 
--- a/citrondoor/limits/_warmth.py
+++ b/citrondoor/limits/_warmth.py
@@ -23,7 +23,7 @@
 UNLIMITED = 1 << 30
 # Levels sent with one heartbeat, and how often each change is sent for each
 # doubling of the fleet.
-MAX_NEWS = 16
+MAX_NEWS = 64
 SENDS_PER_DOUBLING = 4
 # Leases are short, so that daemons take turns at a searcher that bears little.
 LEASE_MS = 200
@@ -85,6 +85,7 @@
 
     Args:
       vm: Name of this VM.
+      on_cold: Called when this daemon itself finds a searcher cold.
     """
 
     __slots__ = (
@@ -92,13 +93,15 @@
         "_full_levels",
         "_members",
         "_news",
+        "_on_cold",
         "_vm",
         "_warm",
         "_warmed",
     )
 
-    def __init__(self, vm: str):
+    def __init__(self, vm: str, on_cold: Callable[[], None] = lambda: None):
         self._vm = vm
+        self._on_cold = on_cold
         self._cold: dict[str, _Cold] = {}
         # When searchers that are warm now were last cold.
         self._warm: dict[str, int] = {}
@@ -137,6 +140,10 @@
 
     def note_cold(self, searcher: str, wall_ms: int, now: int) -> None:
         """Notes that a searcher turned cold."""
+        self._set_cold(searcher, wall_ms, now)
+        self._on_cold()
+
+    def _set_cold(self, searcher: str, wall_ms: int, now: int) -> None:
         known = self._cold.get(searcher)
         full = self._full_levels.get(searcher, START_LEVEL + 1)
         cold = _Cold(wall_ms, full)
@@ -261,7 +268,7 @@
         if other.cold_since_ms < known_since:
             return
         if other.cold_since_ms > known_since:
-            self.note_cold(name, other.cold_since_ms, now)
+            self._set_cold(name, other.cold_since_ms, now)
             cold = self._cold[name]
         if cold is not None and other.level > cold.level:
             self._raise_to(name, cold, other.level, now)
