Give borrowed shares back early, and grow into sudden demand

Cause: with load moving to another entry, that entry served 96 of 150 requests a second of a contract for 200: its own share was lent out for up to a second, and it asked only for what it had measured. Change: a borrower says with each question what it still holds, and the lender takes the rest back; an overtaken question takes nothing back; after a shortage a daemon asks for twice its share; entries are kept for a named session; a refusal at the whole share waits for no lease. Also here: the collector is tuned in stand-ins and load as well, searchers scan an index, and a cold searcher gets no call while earlier ones drain.

--- a/benchmarks/_deployments.py
+++ b/benchmarks/_deployments.py
@@ -5,6 +5,7 @@
 import pathlib
 import tempfile
 
+from citrondoor import collector
 from citrondoor.standins import declare
 from citrondoor.standins import load
 from citrondoor.standins import rig
@@ -62,6 +63,7 @@
     deployment = rig.Rig(workload.directory, **options)
     try:
         deployment.start()
+        collector.tune()
         yield deployment
     finally:
         deployment.stop()
--- a/benchmarks/bench_path_cost.py
+++ b/benchmarks/bench_path_cost.py
@@ -21,13 +21,13 @@
 
 from benchmarks import _report
 from citrondoor import clock as clocks
+from citrondoor import collector
 from citrondoor import configuration
 from citrondoor import engine
 from citrondoor import limits
 from citrondoor import links
 from citrondoor import membership
 from citrondoor import timeline
-from citrondoor.daemon import main as daemon_main
 from citrondoor.schema import declarations
 from citrondoor.schema import messages
 from citrondoor.schema import settings as schema_settings
@@ -232,7 +232,7 @@
     requests = queries * SEARCHERS
     search_engine, pool = make_engine(seed)
     # As the daemon does; the baselines gain from it as well.
-    daemon_main.tune_collector()
+    collector.tune()
     await _our_path(search_engine, 20)
     echo, sonic, ours = [], [], []
     for _ in range(rounds):
--- a/citrondoor/daemon/main.py
+++ b/citrondoor/daemon/main.py
@@ -1,7 +1,6 @@
 """The command `citrondoord`."""
 
 import asyncio
-import gc
 import pathlib
 import random
 import sys
@@ -9,13 +8,13 @@
 import click
 
 from citrondoor import clock as clocks
+from citrondoor import collector
 from citrondoor import errors
 from citrondoor import telemetry
 from citrondoor.daemon import _assembly
 from citrondoor.daemon import _settings
 
 EXIT_BAD_SETTINGS = 2
-COLLECT_AFTER_OBJECTS = 100_000
 
 
 @click.command()
@@ -49,20 +48,10 @@
       connector: Opens connections to peers; None takes TCP.
     """
     telemetry.configure_logs()
-    tune_collector()
+    collector.tune()
     asyncio.run(_run(settings, source, connector))
 
 
-def tune_collector() -> None:
-    """Makes the garbage collector look less often.
-
-    A query makes hundreds of objects and no cycles. Objects of the start-up
-    never die: the collector need not look at them.
-    """
-    gc.freeze()
-    gc.set_threshold(COLLECT_AFTER_OBJECTS)
-
-
 async def _run(settings, source: random.Random, connector) -> None:
     daemon = _assembly.Daemon(
         settings,
--- a/citrondoor/engine/_admission.py
+++ b/citrondoor/engine/_admission.py
@@ -18,6 +18,8 @@
 
 # A request without a token waits this long for a lease, in milliseconds.
 LEASE_WAIT_MS = 60
+# A share that counts as the whole.
+WHOLE_SHARE = 0.99
 # How often a request looks whether a distrusted view was confirmed.
 CONFIRM_POLL_MS = 20
 
@@ -128,7 +130,8 @@
             return None
         left_ms = deadline_at - clock.now()
         wait_ms = min(LEASE_WAIT_MS, left_ms)
-        if wait_ms > 0:
+        # With the whole rate in hand there is nothing left to borrow.
+        if wait_ms > 0 and rate.usable_share(clock.now()) < WHOLE_SHARE:
             await self._leases.ask_and_wait(wait_ms)
             if rate.admit_again(clock.now()):
                 return None
--- a/citrondoor/engine/_leases.py
+++ b/citrondoor/engine/_leases.py
@@ -11,6 +11,8 @@
 
 # Well below the length of a lease, so that one lost message loses nothing.
 ASK_EVERY_MS = 300
+# Requests without a token make the daemon ask at most this often.
+URGENT_EVERY_MS = 50
 
 
 class LeaseKeeper:
@@ -22,7 +24,14 @@
       rates: Rates of all customers.
     """
 
-    __slots__ = ("_peering", "_rates", "_tasks", "_urgent", "_view")
+    __slots__ = (
+        "_peering",
+        "_rates",
+        "_tasks",
+        "_urgent",
+        "_urgent_at",
+        "_view",
+    )
 
     def __init__(
         self,
@@ -35,6 +44,7 @@
         self._rates = rates
         self._tasks: set[asyncio.Task] = set()
         self._urgent: asyncio.Future | None = None
+        self._urgent_at = -URGENT_EVERY_MS
         peering.register(messages.LeaseRequests, self._on_requests)
 
     async def run(self) -> None:
@@ -58,7 +68,12 @@
 
     async def ask_and_wait(self, timeout_ms: int) -> None:
         """Asks at once, for a request that found no token, and waits."""
+        now = self._view.clock.now()
         if self._urgent is None or self._urgent.done():
+            if now - self._urgent_at < URGENT_EVERY_MS:
+                # Asked just before: another answer would be the same.
+                return
+            self._urgent_at = now
             self._urgent = asyncio.ensure_future(self._ask_all())
         await asyncio.wait([self._urgent], timeout=timeout_ms / clocks.MS_PER_S)
 
@@ -69,7 +84,9 @@
         self, vm: str, requests: list[messages.LeaseRequest]
     ) -> None:
         asked_at = self._view.clock.now()
-        question = messages.LeaseRequests(self._view.vm, requests)
+        question = messages.LeaseRequests(
+            self._view.vm, self._view.members.sender().incarnation, requests
+        )
         try:
             reply = await self._peering.ask(vm, question)
         except errors.CitrondoorError:
@@ -89,5 +106,6 @@
         for request in question.requests:
             rate = self._rates.rate_of(request.customer, now)
             if rate is not None:
-                grants.append(rate.lend(sender, request.share, now))
+                grant = rate.lend(sender, question.incarnation, request, now)
+                grants.append(grant)
         return messages.LeaseGrants(grants)
--- a/citrondoor/engine/_service.py
+++ b/citrondoor/engine/_service.py
@@ -38,7 +38,6 @@
         "_sessions",
         "_source",
         "_view",
-        "entries_handed_at",
     )
 
     def __init__(
@@ -58,7 +57,6 @@
         self._counts = counts
         self._sessions = sessions
         self._source = source
-        self.entries_handed_at = 0
 
     async def search(
         self, key: str, request: messages.SearchRequest
@@ -105,18 +103,20 @@
         finally:
             self._admission.in_flight -= 1
 
-    def entries(self, key: str, zone: str) -> list[declarations.Vm]:
+    def entries(
+        self, key: str, zone: str, session: str
+    ) -> list[declarations.Vm]:
         """Returns the entry VMs to use, the first one first."""
         authenticated = self._admission.authenticate(key)
         customer = (
             authenticated.ok().customer if authenticated.is_ok() else None
         )
-        self.entries_handed_at = self._view.clock.now()
         return membership.choose_entries(
             self._view.catalogue,
             self._view.members.live(),
             zone,
             customer,
+            session,
             self._source,
         )
 
--- a/citrondoor/front/_app.py
+++ b/citrondoor/front/_app.py
@@ -95,8 +95,9 @@
     async def entries(self, request: requests.Request) -> responses.Response:
         """GET /v1/entries."""
         zone = request.query_params.get("zone", "")
-        vms = self._service.entries(_key_of(request), zone)
-        session = self._service.issue_session()
+        session = request.query_params.get("session", "")
+        vms = self._service.entries(_key_of(request), zone, session)
+        session = session or self._service.issue_session()
         body = codec.encode_entries(vms, self._settings.entries_ttl_ms, session)
         return _answer(body)
 
--- a/citrondoor/limits/_leases.py
+++ b/citrondoor/limits/_leases.py
@@ -21,6 +21,21 @@
         self.ends_at = ends_at
 
 
+class _Asked:
+    """When a borrower asked last."""
+
+    __slots__ = ("asked_at", "incarnation")
+
+    def __init__(self, incarnation: int, asked_at: int):
+        self.incarnation = incarnation
+        self.asked_at = asked_at
+
+    def is_before(self, incarnation: int, asked_at: int) -> bool:
+        if incarnation != self.incarnation:
+            return incarnation > self.incarnation
+        return asked_at > self.asked_at
+
+
 class Lender:
     """What this VM lent to others: shares of a rate, or calls.
 
@@ -28,10 +43,11 @@
       lease_ms: Length of a lease, in milliseconds.
     """
 
-    __slots__ = ("_lease_ms", "_leases")
+    __slots__ = ("_last_asked", "_lease_ms", "_leases")
 
     def __init__(self, lease_ms: int = LEASE_MS):
         self._lease_ms = lease_ms
+        self._last_asked: dict[str, _Asked] = {}
         self._leases: dict[str, list[_Lease]] = {}
 
     def lent(self, now: int) -> float:
@@ -53,6 +69,20 @@
         kept = [x for x in self._leases.get(borrower, ()) if x.ends_at > now]
         self._leases[borrower] = [*kept, _Lease(share, ends_at)]
 
+    def trim(
+        self, borrower: str, incarnation: int, asked_at: int, held: float
+    ) -> None:
+        """Takes back what a borrower says it does not use any more.
+
+        A question that was overtaken by a later one takes nothing back.
+        """
+        last = self._last_asked.get(borrower)
+        if last is not None and not last.is_before(incarnation, asked_at):
+            return
+        self._last_asked[borrower] = _Asked(incarnation, asked_at)
+        for lease in self._leases.get(borrower, ()):
+            lease.share = min(lease.share, held)
+
     def release(self, borrower: str) -> None:
         """Forgets the leases of a borrower that says it uses none."""
         self._leases.pop(borrower, None)
@@ -70,10 +100,26 @@
 class Borrower:
     """Shares that this VM borrowed from others, for one customer."""
 
-    __slots__ = ("_leases",)
+    __slots__ = ("_leases", "_reduced_at")
 
     def __init__(self):
         self._leases: dict[str, _Lease] = {}
+        # Grants that were asked for before do not count any more.
+        self._reduced_at: dict[str, int] = {}
+
+    @property
+    def lenders(self) -> list[str]:
+        """VMs whose leases are held."""
+        return list(self._leases)
+
+    def reduce(self, lender: str, share: float, now: int) -> float:
+        """Uses at most a share from now on; returns what is held."""
+        held = self.borrowed_from(lender, now)
+        if held <= share:
+            return held
+        self._leases[lender].share = share
+        self._reduced_at[lender] = now
+        return share
 
     def borrowed(self, now: int) -> float:
         """Returns the borrowed share that may be used now."""
@@ -93,7 +139,8 @@
         self, lender: str, share: float, lease_ms: int, asked_at: int
     ) -> None:
         """Takes a grant; it counts from when the question was sent."""
-        self._leases[lender] = _Lease(share, asked_at + lease_ms)
+        if asked_at >= self._reduced_at.get(lender, asked_at):
+            self._leases[lender] = _Lease(share, asked_at + lease_ms)
 
     def drop_ended(self, now: int) -> None:
         """Forgets leases that have ended."""
--- a/citrondoor/limits/_rates.py
+++ b/citrondoor/limits/_rates.py
@@ -16,6 +16,10 @@
 HEADROOM = 1.3
 # Some homes may have nothing to lend: each is asked for more than its part.
 ASK_MARGIN = 1.5
+# After a request found no token, a daemon asks for a multiple of its share, so
+# that sudden demand does not wait until it is measured.
+SHORT_MS = 500
+SHORT_FACTOR = 2.0
 # A customer without demand for this long asks for no lease.
 IDLE_MS = 3000
 # A new incarnation waits until leases of its predecessor have ended.
@@ -43,6 +47,7 @@
         "_lender",
         "_open_at",
         "_resized_at",
+        "_short_until",
         "_size",
         "_vm",
         "_wanted_at",
@@ -68,6 +73,7 @@
         self._wanted_at = started_at - IDLE_MS
         self._size = 0.0
         self._resized_at = started_at
+        self._short_until = started_at
 
     @property
     def homes(self) -> list[str]:
@@ -89,13 +95,15 @@
     def admit(self, now: int) -> bool:
         """Takes a token for one request; returns False when there is none."""
         self._note_demand(now)
-        self._resize(now)
-        return self._bucket.take(now)
+        return self.admit_again(now)
 
     def admit_again(self, now: int) -> bool:
         """Like `admit`, for a request whose demand was noted before."""
         self._resize(now)
-        return self._bucket.take(now)
+        is_admitted = self._bucket.take(now)
+        if not is_admitted:
+            self._short_until = now + SHORT_MS
+        return is_admitted
 
     def retry_after_ms(self, now: int) -> int:
         """Returns when a refused request may be admitted."""
@@ -106,6 +114,10 @@
         """Returns whether requests came lately."""
         return now - self._wanted_at < IDLE_MS
 
+    def is_active(self, now: int) -> bool:
+        """Returns whether there is anything to ask for or to give back."""
+        return self.has_demand(now) or bool(self._borrower.lenders)
+
     def wanted_share(self, now: int) -> float:
         """Returns the share that the measured demand needs, up to 1."""
         if not self.has_demand(now):
@@ -113,30 +125,49 @@
         demand_per_s = self._demand_now(now) * clock.MS_PER_S
         needed = demand_per_s * HEADROOM / self._contract.rate_per_s
         # A share of less than one token of the burst admits nothing.
-        least = min(1.0, HEADROOM / self._contract.burst)
+        least = HEADROOM / self._contract.burst
+        if now < self._short_until:
+            grown = SHORT_FACTOR * self.usable_share(now)
+            least = max(least, grown, 1 / max(1, len(self._home.homes)))
         return min(1.0, max(needed, least))
 
-    def asks(self, now: int) -> dict[str, float]:
-        """Returns the share to ask of each home, this VM left out."""
-        wanted = self.wanted_share(now)
-        missing = wanted - self._own_share(now)
+    def asks(self, now: int) -> dict[str, messages.LeaseRequest]:
+        """Returns what to ask of each home, this VM left out.
+
+        What is not needed any more is given back with the question.
+        """
+        missing = max(0.0, self.wanted_share(now) - self._own_share(now))
         others = [vm for vm in self._home.homes if vm != self._vm]
-        if missing <= 0 or not others:
-            return {}
-        part = 1 / len(self._home.homes)
-        asked = min(part, ASK_MARGIN * missing / len(others))
-        return dict.fromkeys(others, asked)
+        share = 0.0
+        if others:
+            part = 1 / len(self._home.homes)
+            share = min(part, ASK_MARGIN * missing / len(others))
+        held = {
+            vm: self._borrower.reduce(vm, share, now)
+            for vm in self._borrower.lenders
+        }
+        self._resize(now)
+        customer = self._contract.customer
+        return {
+            vm: messages.LeaseRequest(customer, share, held.get(vm, 0.0), now)
+            for vm in (others if share else held)
+        }
 
     def lend(
-        self, borrower: str, asked: float, now: int
+        self,
+        borrower: str,
+        incarnation: int,
+        request: messages.LeaseRequest,
+        now: int,
     ) -> messages.LeaseGrant:
         """Grants what this VM does not need itself, and deducts it first."""
         self._lender.drop_ended(now)
+        self._lender.trim(borrower, incarnation, request.asked_at, request.held)
         before = self._lender.lent_to(borrower, now)
         others = self._lender.lent(now) - before
         reserve = min(self._home_share(now), self.wanted_share(now))
         free = self._home_share(now) - others - reserve
-        share = max(0.0, min(asked, free))
+        share = max(0.0, min(request.share, free))
         if share < _leases.MIN_GRANT_SHARE:
             share = 0.0
         tokens = self._take_for(max(0.0, share - before), now)
@@ -266,13 +297,11 @@
     def asks(self, now: int) -> dict[str, list[messages.LeaseRequest]]:
         """Returns the lease requests to send, by VM."""
         by_vm: dict[str, list[messages.LeaseRequest]] = {}
-        for customer, rate in self._rates.items():
-            if not rate.has_demand(now):
+        for rate in self._rates.values():
+            if not rate.is_active(now):
                 continue
-            for vm, share in rate.asks(now).items():
-                if vm != self._vm:
-                    request = messages.LeaseRequest(customer, share)
-                    by_vm.setdefault(vm, []).append(request)
+            for vm, request in rate.asks(now).items():
+                by_vm.setdefault(vm, []).append(request)
         return by_vm
 
     def _assign(self, customer: str, rate: CustomerRate, now: int) -> None:
--- a/citrondoor/limits/_warmth.py
+++ b/citrondoor/limits/_warmth.py
@@ -27,6 +27,8 @@
 SENDS_PER_DOUBLING = 4
 # Leases are short, so that daemons take turns at a searcher that bears little.
 LEASE_MS = 200
+# Calls that were on their way when a searcher turned cold end in this time.
+DRAIN_MS = 50
 # A searcher that no query chose for this long is not asked for any more.
 WANT_MS = 100
 # A borrower that was refused waits for its turn this long.
@@ -340,7 +342,9 @@
         warden = ranking[0] if ranking else None
         if warden == cold.warden:
             return
-        # The first warden of a searcher that just turned cold waits for none.
+        # The first warden waits for no leases, but for calls on their way.
         is_first = cold.warden is None
         cold.warden = warden
-        cold.warden_since = now - (1 << 30) if is_first else now
+        cold.warden_since = now
+        if is_first:
+            cold.warden_since += DRAIN_MS - LEASE_MS - _leases.LEASE_MARGIN_MS
--- a/citrondoor/links/_upstream.py
+++ b/citrondoor/links/_upstream.py
@@ -453,14 +453,20 @@
     def _note_failure(self, outcome: messages.SubOutcome) -> None:
         if outcome == _Outcome.SHED:
             self.counters.sheds += 1
-            # Shed though this daemon sent no more than its part of the slots:
-            # the searcher bears less than a warm one.
-            if self.gate.in_flight < self._fair_calls:
+            # An overloaded searcher answers slowly before it sheds; one that
+            # was fast until now bears less than a warm one.
+            if self._was_fast() or self.gate.in_flight < self._fair_calls:
                 self._note_cold()
         elif outcome == _Outcome.FAILED:
             self.counters.failures += 1
             self._note_cold()
 
+    def _was_fast(self) -> bool:
+        name = self.searcher.name
+        expected = self._observations.expected_ms(name, self._clock.now())
+        typical = self._observations.latency.median_ms
+        return expected <= typical * SLOW_FACTOR + SLOW_FLOOR_MS
+
     def _watch_slowness(self, latency_ms: int) -> None:
         typical = self._observations.latency.median_ms
         if latency_ms <= typical * SLOW_FACTOR + SLOW_FLOOR_MS:
--- a/citrondoor/membership/_entries.py
+++ b/citrondoor/membership/_entries.py
@@ -3,6 +3,7 @@
 import random
 
 from citrondoor import declarations as declared
+from citrondoor import rendezvous
 from citrondoor.limits import _shares
 from citrondoor.schema import declarations
 
@@ -14,12 +15,14 @@
     live: list[str],
     near_zone: str,
     customer: str | None,
+    session: str,
     source: random.Random,
 ) -> list[declarations.Vm]:
     """Returns live entry VMs in service, the one to use first in front.
 
     Callers in one zone are spread over the VMs of that zone, and over the
-    others when it has none. In a large fleet a known customer is sent to the
+    others when it has none. A caller that names its session keeps its entry
+    as long as that is there. In a large fleet a known customer is sent to the
     VMs that hold its shares.
 
     Args:
@@ -27,13 +30,17 @@
       live: Names of VMs that are believed alive.
       near_zone: Zone of the caller; empty when unknown.
       customer: Name of the customer; None when unknown.
+      session: Session of the caller; empty when it has none yet.
       source: Random source.
     """
     names = [name for name in live if catalogue.is_vm_in(name)]
     if customer is not None and len(names) > _shares.MAX_HOMES:
         homes = set(_shares.assign_homes(catalogue, customer))
         names = [n for n in names if n in homes] or names
+    if session:
+        names = rendezvous.rank(f"entry/{session}", names)
+    else:
+        source.shuffle(names)
     vms = [catalogue.vms[name] for name in names]
-    source.shuffle(vms)
     vms.sort(key=lambda vm: vm.zone != near_zone)
     return vms[:MAX_ENTRIES]
--- a/citrondoor/standins/client.py
+++ b/citrondoor/standins/client.py
@@ -111,7 +111,8 @@
         # An expired answer still names places where one can ask.
         places = self._entries + self._seeds
         for place in places:
-            url = f"{place}/v1/entries?zone={self._zone}"
+            path = f"/v1/entries?zone={self._zone}&session={self._session}"
+            url = place + path
             status, content = await self._send("GET", url, None, 2000)
             if status == 200 and content["entries"]:
                 self._entries = [e["url"] for e in content["entries"]]
--- a/citrondoor/standins/data.py
+++ b/citrondoor/standins/data.py
@@ -4,6 +4,7 @@
 can scan them directly and compare.
 """
 
+import collections
 import functools
 import random
 import zlib
@@ -79,14 +80,39 @@
     )
 
 
-def score(query_words: frozenset[str], record: Record) -> float:
-    """Returns how well a record matches; 0 is no match."""
-    shared = len(query_words.intersection(record.words))
-    if not shared:
-        return 0.0
-    # A coarse second part makes ties, which the merge must order stably.
-    tie_breaker = zlib.crc32(record.name.encode()) % 8
-    return shared + tie_breaker / 10
+class _Index:
+    """The records of one shard by word.
+
+    Args:
+      records: The records.
+    """
+
+    __slots__ = ("_by_word", "_tie_breakers")
+
+    def __init__(self, records: tuple[Record, ...]):
+        self._by_word: dict[str, list[str]] = {}
+        # A coarse second part makes ties, which the merge must order stably.
+        self._tie_breakers: dict[str, float] = {}
+        for record in records:
+            part = zlib.crc32(record.name.encode()) % 8
+            self._tie_breakers[record.name] = part / 10
+            for word in record.words:
+                self._by_word.setdefault(word, []).append(record.name)
+
+    def hits(self, words: frozenset[str]) -> list[tuple[float, str]]:
+        """Returns score and name of each record that shares a word."""
+        shared: collections.Counter[str] = collections.Counter()
+        for word in words:
+            shared.update(self._by_word.get(word, ()))
+        return [
+            (count + self._tie_breakers[name], name)
+            for name, count in shared.items()
+        ]
+
+
+@functools.lru_cache(maxsize=4096)
+def _index_of(snapshot: str, shard: str, count: int) -> _Index:
+    return _Index(records_of(snapshot, shard, count))
 
 
 @functools.lru_cache(maxsize=65536)
@@ -94,11 +120,9 @@
     snapshot: str, shard: str, count: int, query: str, top: int
 ) -> messages.ShardAnswer:
     """Returns the best hits of one shard by a direct scan; top 0 is all."""
-    words = frozenset(query.split())
-    scored = [
-        (score(words, r), r.name) for r in records_of(snapshot, shard, count)
-    ]
-    hits = sorted((s for s in scored if s[0] > 0), key=lambda s: (-s[0], s[1]))
+    index = _index_of(snapshot, shard, count)
+    hits = index.hits(frozenset(query.split()))
+    hits.sort(key=lambda hit: (-hit[0], hit[1]))
     chosen = hits[:top] if top else hits
     return messages.ShardAnswer(
         shard, count, [s for s, _ in chosen], [name for _, name in chosen]
--- a/citrondoor/standins/main.py
+++ b/citrondoor/standins/main.py
@@ -13,6 +13,7 @@
 from starlette import routing
 
 from citrondoor import clock as clocks
+from citrondoor import collector
 from citrondoor import declarations as declared
 from citrondoor.schema import declarations
 from citrondoor.standins import platform as platform_module
@@ -74,6 +75,7 @@
             made = _make(catalogue, backend, searcher, seed)
             served[searcher.name] = made
             await searcher_module.listen(made, searcher.address, searcher.port)
+    collector.tune()
     config = uvicorn.Config(
         _control_app(served),
         host=address,
--- a/citrondoor/standins/rate_fleet.py
+++ b/citrondoor/standins/rate_fleet.py
@@ -60,6 +60,7 @@
         "admitted",
         "catalogue",
         "groups",
+        "incarnations",
         "loss",
         "now",
         "refused",
@@ -76,6 +77,7 @@
         self.revisions: dict[str, int] = {}
         self.tables: dict[str, limits.RateTable] = {}
         self.admitted: list[int] = []
+        self.incarnations: dict[str, int] = {}
         self.refused = 0
         self.groups: list[set[str]] = []
         self._events: list[tuple] = []
@@ -89,6 +91,7 @@
             vm, self.now, lambda other: self.revisions.get(other, -1)
         )
         self.tables[vm] = table
+        self.incarnations[vm] = self.incarnations.get(vm, 0) + 1
         self.adopt(vm, self.catalogue)
 
     def adopt(self, vm: str, catalogue: declared.Catalogue) -> None:
@@ -139,7 +142,8 @@
             return
         table.refresh(self.now)
         for lender, requests in table.asks(self.now).items():
-            self._send(vm, lender, self._lend, vm, lender, requests, self.now)
+            question = (vm, self.incarnations[vm], lender, requests, self.now)
+            self._send(vm, lender, self._lend, *question)
         self._at(self.now + ASK_EVERY_MS, self._ask, vm, until)
 
     def _send(self, sender: str, receiver: str, action, *arguments) -> None:
@@ -150,12 +154,14 @@
             delay = self.source.choice((1, 2, 5, 40, 400))
             self._at(self.now + delay, action, *arguments)
 
-    def _lend(self, vm, lender, requests, asked_at) -> None:
+    def _lend(self, vm, incarnation, lender, requests, asked_at) -> None:
         table = self.tables.get(lender)
         if table is None:
             return
         grants = [
-            table.rate_of(r.customer, self.now).lend(vm, r.share, self.now)
+            table.rate_of(r.customer, self.now).lend(
+                vm, incarnation, r, self.now
+            )
             for r in requests
         ]
         self._send(lender, vm, self._receive, vm, lender, grants, asked_at)
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -204,11 +204,16 @@
 struct LeaseRequest {
   1: required string customer
   2: required double share
+  // The borrower uses no more than this of what the lender lent before.
+  3: required double held
+  // The borrower's clock, ms: an older question must not undo a newer one.
+  4: required i64 asked_at
 }
 
 struct LeaseRequests {
   1: required string borrower
-  2: required list<LeaseRequest> requests
+  2: required i64 incarnation
+  3: required list<LeaseRequest> requests
 }
 
 // A share of 0 grants nothing.
