Give cold replicas that hold a lease their share of work; split large files

The chooser compared measured latencies, and a cold replica answers slowly until it has had work, so its warm twin got everything until the average faded. Change: between a cold replica with a lease and another one the choice is even.

--- a/citrondoor/engine/_search.py
+++ b/citrondoor/engine/_search.py
@@ -256,6 +256,7 @@
                 self.pool.observations_of(name),
                 self._load_of,
                 self._is_usable,
+                self._is_cold,
                 self._source,
             )
             self._backends[name] = _Backend(
@@ -304,6 +305,9 @@
     def _load_of(self, searcher: str) -> int:
         return self.pool.links[searcher].gate.load
 
+    def _is_cold(self, searcher: str) -> bool:
+        return self.pool.links[searcher].is_cold
+
     def _is_usable(self, searcher: str, now: int) -> bool:
         link = self.pool.links.get(searcher)
         return link is not None and link.is_usable(now)
--- /dev/null
+++ b/citrondoor/links/_upstreams.py
@@ -0,0 +1,135 @@
+"""The links to all searchers in force."""
+
+from citrondoor import clock as clocks
+from citrondoor import declarations as declared
+from citrondoor import limits
+from citrondoor import routing
+from citrondoor.links import _calls
+from citrondoor.links import _searcher
+from citrondoor.schema import declarations
+from citrondoor.schema import settings as schema_settings
+
+
+class UpstreamPool:
+    """The links to all searchers in force.
+
+    Args:
+      vm: Name of this VM.
+      settings: Time limits and bounds.
+      warmth: Levels of cold searchers.
+      clock: Clock of the daemon.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_links",
+        "_observations",
+        "_settings",
+        "_vm",
+        "_warmth",
+        "counters",
+    )
+
+    def __init__(
+        self,
+        vm: str,
+        settings: schema_settings.UpstreamSettings,
+        warmth: limits.Warmth,
+        clock: clocks.Clock,
+    ):
+        self._vm = vm
+        self._settings = settings
+        self._warmth = warmth
+        self._clock = clock
+        self._links: dict[str, _searcher.SearcherLink] = {}
+        self._observations: dict[str, routing.Observations] = {}
+        self.counters = _calls.UpstreamCounters()
+
+    @property
+    def links(self) -> dict[str, _searcher.SearcherLink]:
+        """Links by name of the searcher."""
+        return self._links
+
+    def in_flight(self, searcher: str) -> int:
+        """Returns this daemon's calls in flight at a searcher."""
+        link = self._links.get(searcher)
+        return link.gate.in_flight if link is not None else 0
+
+    def observations_of(self, backend: str) -> routing.Observations:
+        """Returns the latencies measured at a back end."""
+        if backend not in self._observations:
+            self._observations[backend] = routing.Observations()
+        return self._observations[backend]
+
+    def set_catalogue(self, catalogue: declared.Catalogue) -> list[str]:
+        """Takes the searchers in force; returns the names of new ones."""
+        daemons = list(catalogue.vms)
+        fresh = []
+        wanted: set[str] = set()
+        for backend in catalogue.backends.values():
+            share = routing.connection_share(backend.connections, len(daemons))
+            for searcher in backend.searchers:
+                if not catalogue.is_searcher_in(searcher.name):
+                    continue
+                if not routing.may_connect(
+                    self._vm, searcher.name, backend.connections, daemons
+                ):
+                    continue
+                wanted.add(searcher.name)
+                self._warmth.set_full_level(searcher.name, backend.slots)
+                if self._keep(searcher, share):
+                    continue
+                self._links[searcher.name] = self._make(
+                    backend, searcher, share, len(daemons)
+                )
+                fresh.append(searcher.name)
+        self._drop_all_but(wanted)
+        return fresh
+
+    def sweep(self, now: int) -> None:
+        """Ends late calls on all links."""
+        for link in self._links.values():
+            link.sweep(now)
+
+    def close(self) -> None:
+        """Closes every connection."""
+        for link in self._links.values():
+            link.close()
+
+    def _keep(self, searcher: declarations.Searcher, share: int) -> bool:
+        link = self._links.get(searcher.name)
+        if link is None:
+            return False
+        if (link.searcher.address, link.searcher.port) != (
+            searcher.address,
+            searcher.port,
+        ):
+            return False
+        link.gate.set_capacity(share)
+        return True
+
+    def _make(
+        self,
+        backend: declarations.Backend,
+        searcher: declarations.Searcher,
+        share: int,
+        daemons: int,
+    ) -> _searcher.SearcherLink:
+        gate = limits.Gate(share, backend.slots, self._settings.max_queue)
+        return _searcher.SearcherLink(
+            searcher,
+            gate,
+            self._warmth,
+            self.observations_of(backend.name),
+            self._settings,
+            self.counters,
+            self._clock,
+            max(1, backend.slots // max(1, daemons)),
+        )
+
+    def _drop_all_but(self, wanted: set[str]) -> None:
+        # Calls in flight end by themselves; idle connections close now.
+        for name in list(self._links):
+            if name not in wanted:
+                link = self._links.pop(name)
+                link.retire()
--- a/citrondoor/routing/_chooser.py
+++ b/citrondoor/routing/_chooser.py
@@ -13,21 +13,30 @@
       observations: Latencies that this daemon measured.
       load_of: Returns sub-requests in flight and queued at a searcher.
       is_usable: Returns whether a searcher may receive new work now.
+      is_cold: Returns whether a searcher is warming up.
       source: Random source.
     """
 
-    __slots__ = ("_is_usable", "_load_of", "_observations", "_source")
+    __slots__ = (
+        "_is_cold",
+        "_is_usable",
+        "_load_of",
+        "_observations",
+        "_source",
+    )
 
     def __init__(
         self,
         observations: _observations.Observations,
         load_of: Callable[[str], int],
         is_usable: Callable[[str, int], bool],
+        is_cold: Callable[[str], bool],
         source: random.Random,
     ):
         self._observations = observations
         self._load_of = load_of
         self._is_usable = is_usable
+        self._is_cold = is_cold
         self._source = source
 
     @property
@@ -56,6 +65,10 @@
         return any(self._is_usable(name, now) for name in replicas)
 
     def _is_better(self, first: str, second: str, now: int) -> bool:
+        if self._is_cold(first) != self._is_cold(second):
+            # A cold one answers slowly until it has had work: its latency
+            # must not keep the work away that its lease allows.
+            return self._source.random() < 0.5
         first_cost = self._cost(first, now)
         second_cost = self._cost(second, now)
         if first_cost == second_cost:
--- a/citrondoor/routing/_query.py
+++ b/citrondoor/routing/_query.py
@@ -13,6 +13,7 @@
 from citrondoor import refusals
 from citrondoor.routing import _budget
 from citrondoor.routing import _chooser
+from citrondoor.routing import _parts
 from citrondoor.routing import _policies
 from citrondoor.routing import _snapshots
 from citrondoor.schema import declarations
@@ -30,46 +31,6 @@
 _Outcome = messages.SubOutcome
 
 
-class _Part:
-    """The shards of one replica group, and the attempts to read them."""
-
-    __slots__ = (
-        "answered",
-        "exhausted",
-        "group",
-        "hedge_at",
-        "index",
-        "lacking",
-        "open_attempts",
-        "retry_at",
-        "rounds",
-        "tried",
-        "was_sent",
-    )
-
-    def __init__(self, index: int, group: declared.ReplicaGroup):
-        self.index = index
-        self.group = group
-        self.answered = False
-        self.exhausted = False
-        self.hedge_at: int | None = None
-        self.retry_at: int | None = None
-        self.rounds = 0
-        self.open_attempts = 0
-        self.tried: set[str] = set()
-        self.lacking: set[str] = set()
-        self.was_sent = False
-
-
-class _Attempt:
-    __slots__ = ("part", "searcher", "sent_at")
-
-    def __init__(self, part: _Part, searcher: str, sent_at: int):
-        self.part = part
-        self.searcher = searcher
-        self.sent_at = sent_at
-
-
 class Query:
     """Reads one snapshot for one request.
 
@@ -125,9 +86,9 @@
         self._hedge_floor_ms = hedge_floor_ms
         self._attempt_numbers = attempt_numbers
         self._snapshot: declared.SnapshotIndex | None = None
-        self._parts: list[_Part] = []
+        self._parts: list[_parts.Part] = []
         self._open_parts = 0
-        self._attempts: dict[int, _Attempt] = {}
+        self._attempts: dict[int, _parts.Attempt] = {}
         self._answers: list[messages.ShardAnswer] = []
         self._unwanted: list[int] = []
         self._tried_snapshots: set[str] = set()
@@ -262,12 +223,14 @@
             id=self._request.id,
             snapshot=self.snapshot_name,
             hits=hits[:top],
-            coverage=self._coverage(),
+            coverage=_parts.coverage_of(self._parts),
             truncated=len(hits) > top,
         )
         return result.Ok(answer)
 
-    def _act_on_time(self, part: _Part, now: int) -> list[messages.SubRequest]:
+    def _act_on_time(
+        self, part: _parts.Part, now: int
+    ) -> list[messages.SubRequest]:
         if part.retry_at is not None and part.retry_at <= now:
             return self._retry_round(part, now)
         if part.hedge_at is not None and part.hedge_at <= now:
@@ -293,7 +256,7 @@
         self._tried_snapshots.add(snapshot.name)
         self._answers = []
         groups = self._wanted_groups(snapshot)
-        self._parts = [_Part(i, group) for i, group in enumerate(groups)]
+        self._parts = [_parts.Part(i, group) for i, group in enumerate(groups)]
         self._open_parts = len(self._parts)
         self._budget.earn(len(groups))
         sub_requests = []
@@ -317,13 +280,15 @@
                 groups.append(declared.ReplicaGroup(shards, group.replicas))
         return groups
 
-    def _send_first(self, part: _Part, now: int) -> list[messages.SubRequest]:
+    def _send_first(
+        self, part: _parts.Part, now: int
+    ) -> list[messages.SubRequest]:
         searcher = self._choose(part, now)
         if searcher is None:
             return self._give_up_round(part, now)
         return [self._send(part, searcher, now, hedge=False)]
 
-    def _choose(self, part: _Part, now: int) -> str | None:
+    def _choose(self, part: _parts.Part, now: int) -> str | None:
         if self._snapshots.may_lack():
             self._note_lacking(part, now)
         excluded = part.tried
@@ -331,14 +296,14 @@
             excluded = part.tried | part.lacking
         return self._chooser.choose(part.group.replicas, excluded, now)
 
-    def _note_lacking(self, part: _Part, now: int) -> None:
+    def _note_lacking(self, part: _parts.Part, now: int) -> None:
         name_of_snapshot = self.snapshot_name
         for name in part.group.replicas:
             if self._snapshots.lacks(name, name_of_snapshot, now):
                 part.lacking.add(name)
 
     def _send(
-        self, part: _Part, searcher: str, now: int, hedge: bool
+        self, part: _parts.Part, searcher: str, now: int, hedge: bool
     ) -> messages.SubRequest:
         number = next(self._attempt_numbers)
         part.tried.add(searcher)
@@ -346,12 +311,12 @@
         part.open_attempts += 1
         part.retry_at = None
         part.hedge_at = None if hedge else self._hedge_time(part, now)
-        self._attempts[number] = _Attempt(part, searcher, now)
+        self._attempts[number] = _parts.Attempt(part, searcher, now)
         self._sent += 1
         shards = part.group.shard_names
         return messages.SubRequest(number, searcher, shards, hedge)
 
-    def _hedge_time(self, part: _Part, now: int) -> int | None:
+    def _hedge_time(self, part: _parts.Part, now: int) -> int | None:
         if len(part.group.replicas) < 2:
             return None
         latency = self._chooser.observations.latency
@@ -360,7 +325,7 @@
             return None
         return now + max(self._hedge_floor_ms, round(wait_ms))
 
-    def _hedge(self, part: _Part, now: int) -> list[messages.SubRequest]:
+    def _hedge(self, part: _parts.Part, now: int) -> list[messages.SubRequest]:
         part.hedge_at = None
         searcher = self._choose(part, now)
         if searcher is None or not self._budget.take_hedge():
@@ -368,14 +333,14 @@
         self._penalize_open(part, now)
         return [self._send(part, searcher, now, hedge=True)]
 
-    def _penalize_open(self, part: _Part, now: int) -> None:
+    def _penalize_open(self, part: _parts.Part, now: int) -> None:
         for attempt in self._attempts.values():
             if attempt.part is part:
                 self._chooser.observations.penalize(
                     attempt.searcher, now - attempt.sent_at, now
                 )
 
-    def _accept(self, part: _Part, answer: messages.SubAnswer) -> bool:
+    def _accept(self, part: _parts.Part, answer: messages.SubAnswer) -> bool:
         if answer.snapshot != self.snapshot_name:
             self._dropped += 1
             return False
@@ -393,13 +358,15 @@
             self._withdraw(part)
         return True
 
-    def _withdraw(self, part: _Part) -> None:
+    def _withdraw(self, part: _parts.Part) -> None:
         numbers = [n for n, a in self._attempts.items() if a.part is part]
         for number in numbers:
             del self._attempts[number]
         self._unwanted += numbers
 
-    def _send_again(self, part: _Part, now: int) -> list[messages.SubRequest]:
+    def _send_again(
+        self, part: _parts.Part, now: int
+    ) -> list[messages.SubRequest]:
         if part.exhausted or part.open_attempts or now >= self._answer_at:
             return []
         searcher = self._choose(part, now)
@@ -410,14 +377,14 @@
         return [self._send(part, searcher, now, hedge=False)]
 
     def _give_up_round(
-        self, part: _Part, now: int
+        self, part: _parts.Part, now: int
     ) -> list[messages.SubRequest]:
         holders = [n for n in part.group.replicas if n not in part.lacking]
         if not holders:
             return self._restart(part, now)
         return self._pause(part, now)
 
-    def _pause(self, part: _Part, now: int) -> list[messages.SubRequest]:
+    def _pause(self, part: _parts.Part, now: int) -> list[messages.SubRequest]:
         gives_up = not _policies.retries_missing(self._policy)
         if gives_up and part.was_sent and part.rounds:
             self._exhaust(part)
@@ -430,7 +397,9 @@
         part.retry_at = now + pause
         return []
 
-    def _retry_round(self, part: _Part, now: int) -> list[messages.SubRequest]:
+    def _retry_round(
+        self, part: _parts.Part, now: int
+    ) -> list[messages.SubRequest]:
         part.retry_at = None
         part.tried.clear()
         searcher = self._choose(part, now)
@@ -441,13 +410,15 @@
             return self._pause(part, now)
         return [self._send(part, searcher, now, hedge=False)]
 
-    def _exhaust(self, part: _Part) -> None:
+    def _exhaust(self, part: _parts.Part) -> None:
         part.exhausted = True
         part.hedge_at = None
         part.retry_at = None
         self._open_parts -= 1
 
-    def _restart(self, part: _Part, now: int) -> list[messages.SubRequest]:
+    def _restart(
+        self, part: _parts.Part, now: int
+    ) -> list[messages.SubRequest]:
         snapshot = self._snapshots.choose(self._tried_snapshots, now)
         is_late = now >= self._answer_at
         if snapshot is None or is_late or self._restarts >= MAX_RESTARTS:
@@ -463,19 +434,3 @@
     def _forget_attempts(self) -> None:
         self._unwanted += list(self._attempts)
         self._attempts.clear()
-
-    def _coverage(self) -> messages.Coverage:
-        answered = [part for part in self._parts if part.answered]
-        missing = [
-            name
-            for part in self._parts
-            if not part.answered
-            for name in part.group.shard_names
-        ]
-        return messages.Coverage(
-            shards_answered=sum(len(part.group.shards) for part in answered),
-            shards_total=sum(len(part.group.shards) for part in self._parts),
-            records_answered=sum(part.group.records for part in answered),
-            records_total=sum(part.group.records for part in self._parts),
-            missing=sorted(missing),
-        )
--- /dev/null
+++ b/citrondoor/standins/faults.py
@@ -0,0 +1,237 @@
+"""Faults of daemons, links, platform, operators and searchers, at random."""
+
+import asyncio
+import collections
+import random
+import signal
+import time
+
+import orjson
+import yaml
+
+from citrondoor.standins import faulty_daemon
+from citrondoor.standins import rig
+
+FAULT_EVERY_S = (1.0, 6.0)
+
+
+class Faults:
+    """Breaks a running deployment and mends it again.
+
+    Args:
+      deployment: The running deployment.
+      source: Random source.
+      contracts_text: Contracts, as declared.
+      names: Faults to choose from; empty takes all.
+    """
+
+    __slots__ = (
+        "_contracts_text",
+        "_names",
+        "_out_zones",
+        "_rig",
+        "_source",
+        "_tasks",
+        "_vms_down",
+        "counts",
+        "problems",
+    )
+
+    def __init__(
+        self,
+        deployment: rig.Rig,
+        source: random.Random,
+        contracts_text: str,
+        names: tuple[str, ...] = (),
+    ):
+        self._rig = deployment
+        self._source = source
+        self._contracts_text = contracts_text
+        self._names = names
+        self._out_zones: set[str] = set()
+        self._vms_down: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self.counts: collections.Counter[str] = collections.Counter()
+        self.problems: list[str] = []
+
+    async def run(self, until: float) -> None:
+        """Breaks things until a reading of the monotonic clock."""
+        faults = {
+            "crash": self._crash,
+            "pause": self._pause,
+            "restart": self._restart,
+            "partition": self._partition,
+            "zone out": self._zone_cycle,
+            "contract changed": self._change_contract,
+            "platform down": self._platform_down,
+            "platform stale": self._platform_stale,
+            "searchers cold": self._searchers_cold,
+            "searchers straggle": self._searchers_straggle,
+            "snapshot missing": self._snapshot_missing,
+            "searchers down": self._searchers_down,
+        }
+        names = self._names or tuple(faults)
+        while time.monotonic() < until:
+            await asyncio.sleep(self._source.uniform(*FAULT_EVERY_S))
+            fault = faults[self._source.choice(names)]
+            task = asyncio.create_task(fault())
+            self._tasks.add(task)
+            task.add_done_callback(self._on_fault_end)
+
+    def _on_fault_end(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.problems.append(f"fault failed: {task.exception()!r}")
+
+    def _choose_vm(self) -> str | None:
+        # Two of five may be away at once: any count stands on three VMs only
+        # while their zones are there.
+        if self._vms_down:
+            return None
+        vm = self._source.choice(self._rig.vm_names)
+        self._vms_down.add(vm)
+        return vm
+
+    def _note_fault(self, kind: str) -> None:
+        self.counts[kind] += 1
+
+    async def _crash(self) -> None:
+        vm = self._choose_vm()
+        if vm is None:
+            return
+        self._note_fault("crash")
+        process = self._rig.daemons[vm]
+        process.kill()
+        await asyncio.to_thread(process.wait)
+        await asyncio.sleep(self._source.uniform(0.2, 5))
+        await self._bring_back(vm)
+
+    async def _bring_back(self, vm: str) -> None:
+        self._rig.start_daemon(vm)
+        await asyncio.to_thread(self._rig.wait_ready_or_out, vm)
+        # Counts that stood on the lost VM are copied again by then.
+        await asyncio.sleep(2.0)
+        self._vms_down.discard(vm)
+
+    async def _pause(self) -> None:
+        vm = self._choose_vm()
+        if vm is None:
+            return
+        self._note_fault("pause")
+        process = self._rig.daemons[vm]
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(self._source.uniform(0.5, 6))
+        process.send_signal(signal.SIGCONT)
+        await asyncio.sleep(1.0)
+        self._vms_down.discard(vm)
+
+    async def _restart(self) -> None:
+        vm = self._choose_vm()
+        if vm is None:
+            return
+        self._note_fault("restart")
+        process = self._rig.daemons[vm]
+        process.send_signal(signal.SIGTERM)
+        status = await asyncio.to_thread(process.wait)
+        if status != 0:
+            self.problems.append(f"{vm} ended with status {status}")
+        await self._bring_back(vm)
+
+    async def _partition(self) -> None:
+        if self._vms_down:
+            return
+        self._note_fault("partition")
+        names = self._rig.vm_names
+        places = self._source.sample(self._rig.peer_places, len(names))
+        self._vms_down.update(names)
+        path = self._rig.home / faulty_daemon.PARTITION_FILE
+        path.write_bytes(orjson.dumps([places[:2], places[2:]]))
+        await asyncio.sleep(self._source.uniform(1, 8))
+        path.unlink()
+        await asyncio.sleep(3.0)
+        self._vms_down.clear()
+
+    async def _zone_cycle(self) -> None:
+        zones = [z.zone for z in self._rig.vms]
+        zone = self._source.choice(zones)
+        if self._out_zones:
+            return
+        self._out_zones.add(zone)
+        self._note_fault("zone out")
+        await asyncio.to_thread(self._rig.publish_zone, zone, "out")
+        await asyncio.sleep(self._source.uniform(3, 10))
+        await asyncio.to_thread(self._rig.publish_zone, zone, "in")
+        await asyncio.sleep(2.0)
+        self._out_zones.discard(zone)
+
+    async def _change_contract(self) -> None:
+        self._note_fault("contract changed")
+        content = yaml.safe_load(self._contracts_text)
+        for contract in content["contracts"]:
+            contract["rate_per_s"] = self._source.choice((100.0, 200.0, 400.0))
+            contract["burst"] = self._source.choice((50, 100))
+        text = yaml.safe_dump(content)
+        await asyncio.to_thread(self._rig.publish, "contracts/customers", text)
+
+    async def _platform_down(self) -> None:
+        self._note_fault("platform down")
+        control = self._rig.control_platform
+        await asyncio.to_thread(control, {"down": True})
+        await asyncio.sleep(self._source.uniform(2, 10))
+        await asyncio.to_thread(control, {"down": False})
+
+    async def _platform_stale(self) -> None:
+        self._note_fault("platform stale")
+        control = self._rig.control_platform
+        seen = await asyncio.to_thread(control, {})
+        # It answers an older version than it has answered before.
+        frozen = max(1, seen["revision"] - self._source.randrange(3))
+        await asyncio.to_thread(control, {"frozen_at": frozen})
+        await asyncio.sleep(self._source.uniform(2, 10))
+        await asyncio.to_thread(control, {"frozen": False})
+
+    def _some_searchers(self) -> list[str]:
+        names = self._rig.searcher_names
+        return self._source.sample(names, self._source.randrange(1, 12))
+
+    async def _searchers_cold(self) -> None:
+        self._note_fault("searchers cold")
+        content = {"searchers": self._some_searchers(), "turn_cold": True}
+        await asyncio.to_thread(self._rig.change_searchers, content)
+
+    async def _searchers_straggle(self) -> None:
+        self._note_fault("searchers straggle")
+        names = self._some_searchers()
+        change = self._rig.change_searchers
+        slow = {"searchers": names, "straggler_share": 0.2}
+        await asyncio.to_thread(change, slow)
+        await asyncio.sleep(self._source.uniform(1, 6))
+        normal = {"searchers": names, "straggler_share": 0.0}
+        await asyncio.to_thread(change, normal)
+
+    async def _snapshot_missing(self) -> None:
+        self._note_fault("snapshot missing")
+        names = self._some_searchers()
+        change = self._rig.change_searchers
+        gone = {"searchers": names, "missing_snapshots": ["gen-0002"]}
+        await asyncio.to_thread(change, gone)
+        await asyncio.sleep(self._source.uniform(1, 5))
+        back = {"searchers": names, "missing_snapshots": []}
+        await asyncio.to_thread(change, back)
+
+    async def _searchers_down(self) -> None:
+        self._note_fault("searchers down")
+        names = self._some_searchers()
+        change = self._rig.change_searchers
+        await asyncio.to_thread(change, {"searchers": names, "is_down": True})
+        await asyncio.sleep(self._source.uniform(0.5, 3))
+        back = {"searchers": names, "is_down": False, "turn_cold": True}
+        await asyncio.to_thread(change, back)
+
+    async def finish(self) -> None:
+        """Waits until the last faults are mended, and mends the platform."""
+        if self._tasks:
+            await asyncio.wait(list(self._tasks))
+        await asyncio.to_thread(
+            self._rig.control_platform, {"down": False, "frozen": False}
+        )
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -86,6 +86,7 @@
     search_head = b""
     cancel_head = b""
     connection_count = 1
+    is_cold = False
 
     def __init__(self, name: str, searchers: Searchers):
         self.name = name
--- a/tests/routing/random_queries.py
+++ b/tests/routing/random_queries.py
@@ -39,6 +39,7 @@
             observations,
             lambda name: 0,
             lambda name, now: name not in self.out,
+            lambda name: False,
             source,
         )
         self.choice = routing.SnapshotChoice(self.chooser)
--- a/tests/routing/test_query.py
+++ b/tests/routing/test_query.py
@@ -19,6 +19,7 @@
 
     def __init__(self, latency_ms: int = 0, shards=(), **changes):
         self.usable = {"desk-0", "desk-1", "desk-2"}
+        self.cold: set[str] = set()
         self.indexes = [
             declared.SnapshotIndex(samples.snapshot(name))
             for name in ("gen-1", "gen-2")
@@ -28,6 +29,7 @@
             self.observations,
             lambda name: 0,
             lambda name, now: name in self.usable,
+            lambda name: name in self.cold,
             random.Random(1),
         )
         choice = routing.SnapshotChoice(chooser)
@@ -104,6 +106,19 @@
     assert desk.query.finish().unwrap().snapshot == "gen-1"
 
 
+def test_a_cold_replica_with_a_lease_gets_work_though_it_was_slow():
+    desk = Desk(shards=["s0"])
+    for _ in range(100):
+        desk.observations.observe("desk-0", 30, 0)
+        desk.observations.observe("desk-1", 3, 0)
+    chooser = desk.query._chooser
+    picks = [chooser.choose(("desk-0", "desk-1"), (), 1) for _ in range(50)]
+    assert set(picks) == {"desk-1"}
+    desk.cold = {"desk-0"}
+    picks = [chooser.choose(("desk-0", "desk-1"), (), 1) for _ in range(50)]
+    assert "desk-0" in picks
+
+
 def test_a_straggler_is_hedged_and_taken_back():
     desk = Desk()
     for _ in range(100):
