Benchmark the return of a cold zone apart from unannounced colds

Cause: one figure mixed searchers that turn cold unannounced, where the first request that is too much is how the fleet learns of it, with a zone that returns cold, where the fleet knows.

--- a/benchmarks/bench_cold_start.py
+++ b/benchmarks/bench_cold_start.py
@@ -1,8 +1,10 @@
-"""Cold searchers under load: a whole back end turns cold at once.
+"""Cold searchers under load.
 
-`requests_over_capacity` counts what searchers got beyond what they bore.
-`ramp_over_shortest` compares the time until all are warm with the time in which
-the offered load brings each of them the answers that the stand-in needs.
+First a whole back end turns cold at once without warning; then a zone is taken
+out, turns cold, and comes back. `requests_over_capacity` counts what searchers
+got beyond what they bore, in both cases together. `ramp_over_shortest` compares
+the time until all are warm with the time in which the offered load brings each
+of them the answers that the stand-in needs; the worse case counts.
 """
 
 import asyncio
@@ -21,6 +23,7 @@
 POLL_S = 0.05
 ANSWERS_PER_SLOT = 10
 LIMIT_S = 9.0
+ZONE_OUT_S = 2.0
 
 
 async def _wait_warm(deployment: rig.Rig, names: set[str]) -> float:
@@ -49,20 +52,31 @@
     sender = load.Load(_deployments.urls(deployment), [plan], seed)
     steady = (await sender.run(SECONDS / 2))[plan.customer]
     steady_p99 = steady.percentile_ms(99)
-    moving = asyncio.create_task(sender.run(SECONDS))
-    await asyncio.sleep(1.0)
-    before = _beyond(deployment)
-    change = {"searchers": sorted(names), "turn_cold": True}
-    await asyncio.to_thread(deployment.change_searchers, change)
-    ramp_s = await _wait_warm(deployment, names)
-    result = (await moving)[plan.customer]
     # Each searcher gets this share of the sub-requests of each query.
     per_s = RATE_PER_S * len(groups) / len(names)
     shortest_s = ANSWERS_PER_SLOT * (backend.slots - 1) / per_s
+    moving = asyncio.create_task(sender.run(SECONDS * 2))
+    await asyncio.sleep(1.0)
+    before = _beyond(deployment)
+    await asyncio.to_thread(_turn_cold, deployment, names)
+    unannounced_s = await _wait_warm(deployment, names)
+    between = _beyond(deployment)
+    zone = backend.searchers[0].zone
+    in_zone = {s.name for s in backend.searchers if s.zone == zone}
+    await asyncio.to_thread(deployment.publish_zone, zone, "out")
+    await asyncio.sleep(ZONE_OUT_S)
+    await asyncio.to_thread(_turn_cold, deployment, in_zone)
+    await asyncio.to_thread(deployment.publish_zone, zone, "in")
+    returned_s = await _wait_warm(deployment, in_zone)
+    result = (await moving)[plan.customer]
+    after = _beyond(deployment)
     return {
-        "requests_over_capacity": _beyond(deployment) - before,
-        "ramp_over_shortest": ramp_s / shortest_s,
-        "ramp_s": ramp_s,
+        "requests_over_capacity": after - before,
+        "requests_over_capacity_unannounced": between - before,
+        "requests_over_capacity_zone_return": after - between,
+        "ramp_over_shortest": max(unannounced_s, returned_s) / shortest_s,
+        "ramp_unannounced_s": unannounced_s,
+        "ramp_zone_return_s": returned_s,
         "shortest_ramp_s": shortest_s,
         "coverage_share": result.coverage_share,
         "p99_over_steady": result.percentile_ms(99) / steady_p99,
@@ -70,6 +84,11 @@
     }
 
 
+def _turn_cold(deployment: rig.Rig, names: set[str]) -> None:
+    change = {"searchers": sorted(names), "turn_cold": True}
+    deployment.change_searchers(change)
+
+
 @click.command()
 @_report.seed_option
 def main(seed: int) -> None:
--- a/benchmarks/bench_zone_cycle.py
+++ b/benchmarks/bench_zone_cycle.py
@@ -49,12 +49,12 @@
 
 
 def _last_work_s(deployment, catalogue, zone: str, out_at: float) -> float:
-    """Returns when the zone's searchers last got work, after publication."""
+    """Returns when the zone last got work; negative is before publication."""
     last_ms = 0
     for name, seen in deployment.tallies().items():
         if catalogue.searchers[name].zone == zone:
             last_ms = max(last_ms, seen["last_work_ms"])
-    return max(0.0, last_ms / 1000 - out_at)
+    return last_ms / 1000 - out_at
 
 
 def _extra(before: dict, steady_end: dict, after: dict) -> float:
