Link to neighbours only in a large fleet, and push changes along links

Cause: every daemon dialed every declared VM, 6,299 links at the size of two years from now; and a neighbour that heard of a change could not fetch it from a daemon that it has no link to. Change: above 12 VMs a daemon links to its neighbours, and to others while it asks them something; whoever has a change sends it along its own links when the other side's revision is lower.

--- a/citrondoor/engine/_configuration.py
+++ b/citrondoor/engine/_configuration.py
@@ -34,11 +34,11 @@
 
     __slots__ = (
         "_choice",
+        "_exchanging",
         "_last_problem",
         "_peering",
         "_platform",
         "_platform_revision",
-        "_pulling",
         "_store",
         "_tasks",
         "_unreadable",
@@ -64,7 +64,7 @@
         self._choice = configuration.ReaderChoice(
             view.vm, settings.readers, settings.reader_epoch_ms
         )
-        self._pulling: set[str] = set()
+        self._exchanging: set[str] = set()
         self._tasks: set[asyncio.Task] = set()
         self._unreadable: dict[str, int] = {}
         self._last_problem = ""
@@ -72,6 +72,7 @@
         self.rejected_count = 0
         peering.register(messages.ConfigRequest, self._on_request)
         peering.register(messages.ConfigAdvert, self._on_advert)
+        peering.register(messages.ConfigDocuments, self._on_documents)
         peering.watch_revisions(self._revision, self._on_peer_revision)
 
     @property
@@ -179,15 +180,37 @@
 
     async def _tell(self, vm: str, advert: messages.ConfigAdvert) -> None:
         try:
-            await self._peering.ask(vm, advert)
+            reply = await self._peering.ask(vm, advert)
+            if reply.revision < self._store.revision:
+                # Links go one way in a large fleet: the one that has it sends.
+                await self._peering.ask(vm, self._newer_than(reply.revision))
         except errors.CitrondoorError:
             # Heartbeats carry the revision again.
             pass
 
+    def _newer_than(self, revision: int) -> messages.ConfigDocuments:
+        return messages.ConfigDocuments(
+            self._store.revision, self._store.changed_after(revision)
+        )
+
     def _on_peer_revision(self, link: links.PeerLink, revision: int) -> None:
-        if revision > self._store.revision and link.name not in self._pulling:
-            self._pulling.add(link.name)
+        if link.name in self._exchanging:
+            return
+        if revision > self._store.revision:
+            self._exchanging.add(link.name)
             self._spawn(self._pull_quietly(link))
+        elif revision < self._store.revision:
+            self._exchanging.add(link.name)
+            self._spawn(self._push_quietly(link, revision))
+
+    async def _push_quietly(self, link: links.PeerLink, revision: int) -> None:
+        try:
+            await link.ask(_bodies.wrap(self._newer_than(revision)))
+        except errors.CitrondoorError:
+            # The next heartbeat finds the difference again.
+            pass
+        finally:
+            self._exchanging.discard(link.name)
 
     async def _pull_quietly(self, link: links.PeerLink) -> None:
         try:
@@ -196,21 +219,22 @@
             # The next heartbeat finds the difference again.
             pass
         finally:
-            self._pulling.discard(link.name)
+            self._exchanging.discard(link.name)
 
     async def _on_request(
         self, request: messages.ConfigRequest, sender: str
     ) -> messages.ConfigDocuments:
-        return messages.ConfigDocuments(
-            self._store.revision, self._store.changed_after(request.after)
-        )
+        return self._newer_than(request.after)
+
+    async def _on_documents(
+        self, pushed: messages.ConfigDocuments, sender: str
+    ) -> messages.ConfigAdvert:
+        self._offer(pushed.documents, f"peer {sender}")
+        return messages.ConfigAdvert(self._store.revision)
 
     async def _on_advert(
         self, advert: messages.ConfigAdvert, sender: str
     ) -> messages.ConfigAdvert:
-        link = self._peering.link_to(sender)
-        if link is not None:
-            self._on_peer_revision(link, advert.revision)
         return messages.ConfigAdvert(self._store.revision)
 
     def _revision(self) -> int:
--- a/citrondoor/engine/_leases.py
+++ b/citrondoor/engine/_leases.py
@@ -58,7 +58,7 @@
         now = self._view.clock.now()
         started = []
         for vm, requests in self._rates.asks(now).items():
-            if self._peering.link_to(vm) is None:
+            if not self._peering.can_ask(vm):
                 continue
             task = asyncio.create_task(self._ask(vm, requests))
             self._tasks.add(task)
--- a/citrondoor/engine/_peering.py
+++ b/citrondoor/engine/_peering.py
@@ -11,9 +11,15 @@
 from citrondoor import links
 from citrondoor.engine import _bodies
 from citrondoor.engine import _view
+from citrondoor.schema import declarations
 from citrondoor.schema import messages
 from citrondoor.schema import settings as schema_settings
 
+# Up to this many VMs every daemon keeps a link to every other one; in a larger
+# fleet to its neighbours, and to others while it needs them.
+MESH_VMS = 12
+# A link that was opened for a question closes after this time without one.
+IDLE_LINK_MS = 60_000
 # Searchers that warmed up longer ago than this are not mentioned any more.
 LEVEL_MEMORY_MS = 60_000
 # Urgent news of about this time leave in one heartbeat, in milliseconds.
@@ -51,6 +57,7 @@
         "_seeds",
         "_settings",
         "_tasks",
+        "_used_at",
         "_view",
         "_warmth",
         "garbage_count",
@@ -74,6 +81,8 @@
         self._seeds = seeds
         self._links: dict[str, links.PeerLink] = {}
         self._tasks: dict[str, asyncio.Task] = {}
+        # When links that were opened for a question were used last.
+        self._used_at: dict[str, int] = {}
         self._registry = functools.singledispatch(_refuse_unknown)
         self._registry.register(messages.Heartbeat, self._on_heartbeat)
         self._registry.register(messages.EventsRequest, self._on_events)
@@ -121,6 +130,13 @@
         self._revision_of = revision_of
         self._on_revision = on_revision
 
+    def can_ask(self, vm: str) -> bool:
+        """Returns whether a question to a peer may reach it."""
+        link = self._links.get(vm)
+        if link is not None and vm not in self._used_at:
+            return link.is_up
+        return vm in self._view.members.live()
+
     def link_to(self, vm: str) -> links.PeerLink | None:
         """Returns the link to a peer, if it is up."""
         link = self._links.get(vm)
@@ -137,13 +153,21 @@
           errors.PeerUnreachableError: The peer does not reply.
           errors.PeerRefusedError: The peer refused the question.
         """
-        link = self._links.get(vm)
-        if link is None:
+        link = self._links.get(vm) or self._open_for_questions(vm)
+        if vm in self._used_at:
+            self._used_at[vm] = self._view.clock.now()
+            await link.wait_up()
+        reply = await link.ask(_bodies.wrap(message), timeout_ms)
+        return _bodies.unwrap(reply)
+
+    def _open_for_questions(self, vm: str) -> links.PeerLink:
+        found = self._view.catalogue.vms.get(vm)
+        if found is None:
             raise errors.PeerUnreachableError(
                 f"{vm!r} is no declared VM; check `vms`"
             )
-        reply = await link.ask(_bodies.wrap(message), timeout_ms)
-        return _bodies.unwrap(reply)
+        self._used_at[vm] = self._view.clock.now()
+        return self._open(vm, vm, found.address, found.peer_port)
 
     async def start(self, address: str, port: int) -> None:
         """Listens for peers and dials the seeds."""
@@ -168,9 +192,8 @@
         if catalogue.vms:
             for name in [n for n in self._links if n.startswith("seed/")]:
                 self._drop(name)
-        for vm in catalogue.vms.values():
-            if vm.name == self._view.vm:
-                continue
+        for vm in self._permanent(catalogue):
+            self._used_at.pop(vm.name, None)
             link = self._links.get(vm.name)
             if link is not None and link.place == (vm.address, vm.peer_port):
                 continue
@@ -181,6 +204,21 @@
             if name not in catalogue.vms and not name.startswith("seed/"):
                 self._drop(name)
 
+    def _permanent(
+        self, catalogue: declared.Catalogue
+    ) -> list[declarations.Vm]:
+        """Returns the VMs to which a link is kept."""
+        if len(catalogue.vms) <= MESH_VMS:
+            names = [n for n in catalogue.vms if n != self._view.vm]
+        else:
+            names = self._view.members.neighbours
+        return [catalogue.vms[name] for name in names]
+
+    def _drop_idle(self, now: int) -> None:
+        for name, used_at in list(self._used_at.items()):
+            if now - used_at > IDLE_LINK_MS:
+                self._drop(name)
+
     def note_platform_read(self, now: int) -> None:
         """Notes that this daemon has read the platform."""
         self._platform_read_at = now
@@ -192,7 +230,8 @@
         return now - self._platform_read_at
 
     def tick(self, now: int) -> None:
-        """Moves suspicions on and takes who is alive."""
+        """Moves suspicions on, takes who is alive, closes idle links."""
+        self._drop_idle(now)
         self._view.members.tick(now)
         self._warmth.set_members(self._view.members.live(), now)
         self._warmth.forget_before(self._view.clock.wall() - LEVEL_MEMORY_MS)
@@ -236,7 +275,9 @@
             self._view.freshness.confirm(asked_at, now)
         self._on_revision(link, ack.config_revision)
 
-    def _open(self, key: str, name: str, address: str, port: int) -> None:
+    def _open(
+        self, key: str, name: str, address: str, port: int
+    ) -> links.PeerLink:
         link = links.PeerLink(
             name,
             address,
@@ -248,8 +289,10 @@
         self._links[key] = link
         link.start()
         self._tasks[key] = asyncio.create_task(self._beat_forever(key, link))
+        return link
 
     def _drop(self, key: str) -> None:
+        self._used_at.pop(key, None)
         self._tasks.pop(key).cancel()
         self._links.pop(key).close()
 
--- a/citrondoor/engine/_quantities.py
+++ b/citrondoor/engine/_quantities.py
@@ -75,7 +75,7 @@
             contract.customer, month, self._view.vm, wanted
         )
         for vm in homes:
-            if self._peering.link_to(vm) is None:
+            if not self._peering.can_ask(vm):
                 continue
             try:
                 grant = await self._peering.ask(vm, request)
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -173,6 +173,7 @@
         "_address",
         "_channel",
         "_connector",
+        "_is_up",
         "_listener",
         "_numbers",
         "_port",
@@ -200,6 +201,7 @@
         self._connector = connector
         self._listener = listener
         self._channel: _Channel | None = None
+        self._is_up = asyncio.Event()
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[messages.Body]] = {}
         self._task: asyncio.Task | None = None
@@ -225,6 +227,19 @@
         if self._task is not None:
             self._task.cancel()
 
+    async def wait_up(self) -> None:
+        """Waits until a new link is up.
+
+        Raises:
+          errors.PeerUnreachableError: It did not come up in time.
+        """
+        limit_s = self._settings.request_timeout_ms / clocks.MS_PER_S
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._is_up.wait()
+        except TimeoutError as error:
+            raise _unreachable(self.name) from error
+
     async def ask(
         self, body: messages.Body, timeout_ms: int = 0
     ) -> messages.Body:
@@ -290,6 +305,7 @@
             )
         self.name = channel.hello.vm
         self._channel = channel
+        self._is_up.set()
         self._listener("link_up", self.name)
 
     async def _receive(self) -> None:
@@ -305,6 +321,7 @@
 
     def _disconnect(self) -> None:
         channel, self._channel = self._channel, None
+        self._is_up.clear()
         if channel is None:
             return
         channel.writer.transport.abort()
--- /dev/null
+++ b/tests/engine/test_peering.py
@@ -0,0 +1,110 @@
+import asyncio
+
+import pytest
+
+from citrondoor import clock as clocks
+from citrondoor import configuration
+from citrondoor import engine
+from citrondoor import errors
+from citrondoor import limits
+from citrondoor import links
+from citrondoor import membership
+from citrondoor import timeline
+from citrondoor.engine import _peering
+from citrondoor.schema import messages
+from citrondoor.schema import settings as schema_settings
+from tests import samples
+
+FLEET = 20
+LOCAL = "127.0.0.1"
+
+
+class Node:
+    """The peering of one daemon, on a real socket."""
+
+    def __init__(self, vm: str):
+        settings = schema_settings.PeerSettings(key="00", neighbours=4)
+        recorder = timeline.Recorder(vm, 1, clocks.Clock(), lambda event: None)
+        members = membership.Members(vm, 1, settings, recorder.record)
+        freshness = membership.Freshness(10_000, 10_000, recorder.record)
+        self.view = engine.View(
+            vm, "za", clocks.Clock(), members, freshness, recorder
+        )
+        link_settings = links.PeerSettings(vm, 1, b"k" * 16, 65536, 2000)
+        self.peering = engine.Peering(
+            self.view,
+            limits.Warmth(vm),
+            settings,
+            link_settings,
+            asyncio.open_connection,
+            [],
+        )
+        self.peering.watch_revisions(lambda: 1, lambda link, revision: None)
+
+
+def documents(port_of) -> list:
+    found = samples.documents(FLEET)
+    for vm in found[1].vms.vms:
+        vm.peer_port = port_of.get(vm.name, 9)
+    return found
+
+
+async def start_two(first: str, second: str) -> tuple[Node, Node]:
+    nodes = Node(first), Node(second)
+    ports = {}
+    for node in nodes:
+        await node.peering.start(LOCAL, 0)
+        ports[node.view.vm] = node.peering.server.port
+    for node in nodes:
+        store = configuration.Store()
+        store.offer(documents(ports))
+        node.view.adopt(store.catalogue)
+        node.peering.set_catalogue(store.catalogue)
+    return nodes
+
+
+def strangers() -> tuple[str, str]:
+    names = [f"vm-{number}" for number in range(FLEET)]
+    near = membership.choose_neighbours("vm-0", names, 4)
+    far = next(n for n in names[1:] if n not in near)
+    return "vm-0", far
+
+
+def test_a_large_fleet_links_to_neighbours_and_to_others_on_demand():
+    async def scenario():
+        first, second = await start_two(*strangers())
+        peering = first.peering
+        assert len(peering._links) == 4
+        reply = await peering.ask(second.view.vm, messages.EventsRequest(0))
+        assert isinstance(reply, messages.Events)
+        assert len(peering._links) == 5
+        peering.tick(first.view.clock.now() + _peering.IDLE_LINK_MS + 1000)
+        assert len(peering._links) == 4
+        for node in (first, second):
+            await node.peering.close()
+
+    asyncio.run(scenario())
+
+
+def test_an_undeclared_vm_cannot_be_asked():
+    async def scenario():
+        first, second = await start_two(*strangers())
+        with pytest.raises(errors.PeerUnreachableError, match="no declared VM"):
+            await first.peering.ask("nobody", messages.EventsRequest(0))
+        for node in (first, second):
+            await node.peering.close()
+
+    asyncio.run(scenario())
+
+
+def test_an_unknown_question_is_refused_and_the_link_stays():
+    async def scenario():
+        first, second = await start_two(*strangers())
+        peering = first.peering
+        with pytest.raises(errors.PeerRefusedError, match="nobody answers"):
+            await peering.ask(second.view.vm, messages.ConfigRequest(0))
+        await peering.ask(second.view.vm, messages.EventsRequest(0))
+        for node in (first, second):
+            await node.peering.close()
+
+    asyncio.run(scenario())
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -55,6 +55,9 @@
     def register(self, kind: type, handler) -> None:
         self.handlers[kind] = handler
 
+    def can_ask(self, vm: str) -> bool:
+        return self.network.is_up(self.vm, vm)
+
     def link_to(self, vm: str):
         return vm if self.network.is_up(self.vm, vm) else None
 
