Send nothing more on an old view when a pause falls into a search

Cause: freshness was looked at when a request came and on timers, but a retry that an answer caused, and calls that waited at a searcher's gate, left without. Change: every dispatch looks; what a pause has overtaken is handed back and chosen again; waiting calls stay until the view is confirmed. The new scenario fails before the change (a replica is called after the pause) and passes after it.

--- a/benchmarks/bench_path_cost.py
+++ b/benchmarks/bench_path_cost.py
@@ -176,7 +176,7 @@
     view = engine.View("vm-0", "za", clock, members, freshness, recorder)
     warmth = limits.Warmth("vm-0")
     upstreams = schema_settings.UpstreamSettings()
-    pool = links.UpstreamPool("vm-0", upstreams, warmth, clock)
+    pool = links.UpstreamPool("vm-0", upstreams, warmth, clock, freshness.check)
     search_engine = engine.SearchEngine(
         view, pool, upstreams, random.Random(seed), 1
     )
--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -202,7 +202,11 @@
     def _build_engines(self) -> None:
         settings = self._settings
         self._pool = links.UpstreamPool(
-            settings.vm, settings.upstreams, self._warmth, self._clock
+            settings.vm,
+            settings.upstreams,
+            self._warmth,
+            self._clock,
+            self._view.freshness.check,
         )
         self._warmth_keeper = engine.WarmthKeeper(
             self._view, self._peering, self._warmth, self._pool.in_flight
--- a/citrondoor/engine/_search.py
+++ b/citrondoor/engine/_search.py
@@ -17,6 +17,9 @@
 from citrondoor.schema import messages
 from citrondoor.schema import settings as schema_settings
 
+# A sub-request that a pause has overtaken is chosen again after this time.
+STALE_PAUSE_MS = 20
+
 
 class QueryCounters:
     """Counts over all queries of one daemon."""
@@ -102,6 +105,11 @@
     def _dispatch(self, sub_requests: list[messages.SubRequest]) -> None:
         engine = self._engine
         now = engine.view.clock.now()
+        if not engine.is_view_fresh(now):
+            # Chosen on a view that a pause has made old: choose again later.
+            for sub_request in sub_requests:
+                self._hand_back(sub_request.attempt, STALE_PAUSE_MS)
+            return
         if self._prefix_snapshot != self._query.snapshot_name:
             self._prefix_snapshot = self._query.snapshot_name
             self._prefix = codec.encode_search_prefix(
@@ -114,10 +122,7 @@
             link = engine.pool.links.get(sub_request.searcher)
             if link is None:
                 # It left between the choice and now; the query tries another.
-                asyncio.get_running_loop().call_soon(
-                    self._on_answer,
-                    messages.SubAnswer(number, messages.SubOutcome.UNSENT),
-                )
+                self._hand_back(number, 0)
                 continue
             self._places[number] = sub_request.searcher
             payload = codec.encode_sub_request(
@@ -135,6 +140,13 @@
             engine.counters.hedges += sub_request.hedge
             link.submit(call, now)
 
+    def _hand_back(self, number: int, pause_ms: int) -> None:
+        asyncio.get_running_loop().call_later(
+            pause_ms / clocks.MS_PER_S,
+            self._on_answer,
+            messages.SubAnswer(number, messages.SubOutcome.UNSENT),
+        )
+
     def _on_answer(self, answer: messages.SubAnswer) -> None:
         now = self._engine.view.clock.now()
         more = self._query.on_answer(answer, now)
--- a/citrondoor/links/_searcher.py
+++ b/citrondoor/links/_searcher.py
@@ -1,5 +1,7 @@
 """All connections of this daemon to one searcher."""
 
+from collections.abc import Callable
+
 from citrondoor import clock as clocks
 from citrondoor import limits
 from citrondoor import routing
@@ -37,6 +39,7 @@
       counters: Counts of the daemon.
       clock: Clock of the daemon.
       fair_calls: Calls that are this daemon's part of the searcher's slots.
+      is_fresh: Returns whether this daemon's view may be trusted now.
     """
 
     __slots__ = (
@@ -44,6 +47,7 @@
         "_clock",
         "_dial_pause_ms",
         "_idle",
+        "_is_fresh",
         "_is_retired",
         "_no_dial_until",
         "_observations",
@@ -70,6 +74,7 @@
         counters: _calls.UpstreamCounters,
         clock: clocks.Clock,
         fair_calls: int,
+        is_fresh: Callable[[int], bool],
     ):
         self.searcher = searcher
         self.gate = gate
@@ -90,6 +95,7 @@
         self._is_retired = False
         self._slow_streak = 0
         self._fair_calls = fair_calls
+        self._is_fresh = is_fresh
 
     @property
     def connection_count(self) -> int:
@@ -148,7 +154,7 @@
         self._place(call)
 
     def sweep(self, now: int) -> None:
-        """Ends calls that are late: waiting ones, and stuck connections."""
+        """Ends calls that are late, and starts those that a pause held up."""
         for call in self.gate.take_expired(now):
             call.deliver(messages.SubAnswer(call.number, _Outcome.UNSENT))
         grace = self._settings.cancel_grace_ms
@@ -156,6 +162,8 @@
             call = connection.call
             if call is not None and now > call.deadline_at + grace:
                 connection.abort()
+        while (waiting := self._next_call(now)) is not None:
+            self._place(waiting)
 
     def close(self) -> None:
         """Closes every connection."""
@@ -247,7 +255,7 @@
         connection.start(call)
 
     def _next_call(self, now: int) -> _calls.Call | None:
-        if not self.gate.has_waiting:
+        if not self.gate.has_waiting or not self._is_fresh(now):
             return None
         allowed = self._warmth.allowed(self.searcher.name, now)
         call = self.gate.next_ready(now, allowed)
--- a/citrondoor/links/_upstreams.py
+++ b/citrondoor/links/_upstreams.py
@@ -1,5 +1,7 @@
 """The links to all searchers in force."""
 
+from collections.abc import Callable
+
 from citrondoor import clock as clocks
 from citrondoor import declarations as declared
 from citrondoor import limits
@@ -18,10 +20,12 @@
       settings: Time limits and bounds.
       warmth: Levels of cold searchers.
       clock: Clock of the daemon.
+      is_fresh: Returns whether this daemon's view may be trusted now.
     """
 
     __slots__ = (
         "_clock",
+        "_is_fresh",
         "_links",
         "_observations",
         "_settings",
@@ -36,7 +40,9 @@
         settings: schema_settings.UpstreamSettings,
         warmth: limits.Warmth,
         clock: clocks.Clock,
+        is_fresh: Callable[[int], bool],
     ):
+        self._is_fresh = is_fresh
         self._vm = vm
         self._settings = settings
         self._warmth = warmth
@@ -125,6 +131,7 @@
             self.counters,
             self._clock,
             max(1, backend.slots // max(1, daemons)),
+            self._is_fresh,
         )
 
     def _drop_all_but(self, wanted: set[str]) -> None:
--- a/tests/engine/features/promises.feature
+++ b/tests/engine/features/promises.feature
@@ -127,3 +127,9 @@
     And a caller sends a run to vm-0
     Then the request is refused as arbiter_gone and may have run
     And the refusal has a receipt
+
+  Scenario: A pause during a search sends nothing more on the old view
+    Given a fleet of three daemons
+    And both replicas of shard s0 fail
+    When vm-0 pauses while a caller searches there
+    Then no searcher was called after the pause
--- a/tests/engine/test_service.py
+++ b/tests/engine/test_service.py
@@ -182,6 +182,31 @@
     outcomes.append(asyncio.run(work))
 
 
+@pytest_bdd.when("vm-0 pauses while a caller searches there")
+def pauses_during_search(fleet, outcomes):
+    async def scenario():
+        fleet.searchers.held = asyncio.Event()
+        request = fleet.search_request()
+        request.deadline_at += 10_000
+        service = fleet.daemons["vm-0"].service
+        work = asyncio.create_task(service.search(samples.KEY, request))
+        while len(fleet.searchers.calls) < 3:
+            await asyncio.sleep(0)
+        fleet.clock.advance(1500)
+        fleet.searchers.held.set()
+        for _ in range(50):
+            await asyncio.sleep(0)
+        work.cancel()
+
+    asyncio.run(scenario())
+
+
+@pytest_bdd.then("no searcher was called after the pause")
+def none_after_pause(fleet):
+    # One first sub-request for each of the three replica groups.
+    assert len(fleet.searchers.calls) == 3
+
+
 @pytest_bdd.then(
     parsers.parse("the answer covers every shard of snapshot {name}")
 )
