--- a/benchmarks/bench_state_size.py
+++ b/benchmarks/bench_state_size.py
@@ -28,6 +28,7 @@
 FLEET = 6300
 MONTH = "2026-12"
 SECONDS_TO_MS = 1000
+CHANGES = 10
 
 
 def _members(count: int) -> object:
@@ -109,6 +110,16 @@
     return table
 
 
+def _ms_per_change(count: int) -> float:
+    """Returns the CPU of taking a change of zones, in milliseconds."""
+    store = _catalogue(count)
+    zones = declarations.Zones([declarations.Zone("za", "north")])
+    started = time.process_time()
+    for revision in range(2, 2 + CHANGES):
+        store.offer([declarations.Document("zones", revision, zones=zones)])
+    return (time.process_time() - started) * SECONDS_TO_MS / CHANGES
+
+
 def _sessions(count: int) -> object:
     ledger = counting.Ledger()
     for number in range(count):
@@ -160,6 +171,10 @@
         "bytes_per_homed_customer": _bytes_each(_rates),
         "bytes_per_session": _bytes_each(_sessions),
         "ms_per_searcher_checked_and_indexed": _ms_each(_catalogue),
+        "ms_per_searcher_and_change": (
+            _ms_per_change(LARGE) - _ms_per_change(SMALL)
+        )
+        / (LARGE - SMALL),
         "ms_neighbours_of_6300": _neighbours_ms(),
         "wire_bytes_per_searcher": backend_bytes,
         "wire_bytes_zones_document": len(codec.encode(zones)),
--- a/citrondoor/configuration/_store.py
+++ b/citrondoor/configuration/_store.py
@@ -35,12 +35,13 @@
     kept, until a later document makes the whole agree.
     """
 
-    __slots__ = ("_catalogue", "_in_force", "_revision", "_waiting")
+    __slots__ = ("_catalogue", "_checks", "_in_force", "_revision", "_waiting")
 
     def __init__(self):
         self._in_force: dict[str, declarations.Document] = {}
         self._waiting: dict[str, declarations.Document] = {}
         self._revision = 0
+        self._checks = declared.Checks()
         self._catalogue = declared.Catalogue([])
 
     @property
@@ -83,7 +84,7 @@
 
     def _settle(self, stale: list[str]) -> Offer:
         candidate = {**self._in_force, **self._waiting}
-        problems = declared.check(_bodies(candidate))
+        problems = self._checks.check(_bodies(candidate))
         if not problems:
             return self._adopt(candidate, list(self._waiting), stale, [])
         # One bad document must not hold back the others: take each that fits.
@@ -102,7 +103,7 @@
                 if document.key in accepted:
                     continue
                 trial = {**candidate, document.key: document}
-                if not declared.check(_bodies(trial)):
+                if not self._checks.check(_bodies(trial)):
                     candidate = trial
                     accepted.append(document.key)
                     progressed = True
@@ -130,7 +131,9 @@
                 )
         if accepted:
             self._in_force = candidate
-            self._catalogue = declared.Catalogue(list(candidate.values()))
+            self._catalogue = declared.Catalogue(
+                list(candidate.values()), self._catalogue
+            )
         return Offer(accepted, stale, problems)
 
 
--- a/citrondoor/declarations/_catalogue.py
+++ b/citrondoor/declarations/_catalogue.py
@@ -61,6 +61,7 @@
 
     Args:
       documents: A whole set of documents that agree with each other.
+      previous: Catalogue whose indexes of unchanged documents are used again.
     """
 
     __slots__ = (
@@ -69,6 +70,7 @@
         "contracts",
         "contracts_by_digest",
         "documents",
+        "indexed_snapshots",
         "revision",
         "searchers",
         "snapshots",
@@ -77,8 +79,14 @@
         "zones",
     )
 
-    def __init__(self, documents: list[declarations.Document]):
+    def __init__(
+        self,
+        documents: list[declarations.Document],
+        previous: "Catalogue | None" = None,
+    ):
         self.documents = documents
+        # By identity of the document: documents do not change.
+        self.indexed_snapshots: dict[int, list[SnapshotIndex]] = {}
         self.revision = max((d.revision for d in documents), default=0)
         self.zones: dict[str, declarations.Zone] = {}
         self.vms: dict[str, declarations.Vm] = {}
@@ -89,8 +97,9 @@
         self.contracts: dict[str, declarations.Contract] = {}
         self.contract_revisions: dict[str, int] = {}
         self.contracts_by_digest: dict[str, declarations.Contract] = {}
+        known = previous.indexed_snapshots if previous is not None else {}
         for document in documents:
-            self._index(document)
+            self._index(document, known)
 
     def is_zone_in(self, name: str) -> bool:
         """Returns whether a zone is declared and in service."""
@@ -111,7 +120,11 @@
             return False
         return self.is_zone_in(searcher.zone)
 
-    def _index(self, document: declarations.Document) -> None:
+    def _index(
+        self,
+        document: declarations.Document,
+        known: dict[int, list[SnapshotIndex]],
+    ) -> None:
         if document.zones:
             self.zones = {zone.name: zone for zone in document.zones.zones}
         if document.vms:
@@ -120,9 +133,11 @@
         if document.backend:
             self._index_backend(document.backend)
         if document.snapshots:
-            self.snapshots[document.snapshots.backend] = [
+            found = known.get(id(document)) or [
                 SnapshotIndex(s) for s in document.snapshots.snapshots
             ]
+            self.indexed_snapshots[id(document)] = found
+            self.snapshots[document.snapshots.backend] = found
         if document.contracts:
             for contract in document.contracts.contracts:
                 self._index_contract(contract, document.revision)
--- a/citrondoor/declarations/_check.py
+++ b/citrondoor/declarations/_check.py
@@ -31,8 +31,62 @@
 
 def check(documents: list[declarations.Document]) -> list[Problem]:
     """Returns every contradiction in a whole set of documents."""
-    checker = _Checker(documents)
-    return checker.run()
+    return Checks().check(documents)
+
+
+class _Checked:
+    """The problems of one document, and what they depended on."""
+
+    __slots__ = ("backend", "document", "names", "problems")
+
+    def __init__(
+        self,
+        document: declarations.Document,
+        names: list[str],
+        backend: declarations.Backend | None,
+        problems: list[Problem],
+    ):
+        self.document = document
+        self.names = names
+        self.backend = backend
+        self.problems = problems
+
+    def is_valid(
+        self,
+        document: declarations.Document,
+        names: list[str],
+        backend: declarations.Backend | None,
+    ) -> bool:
+        # Documents do not change: the same object has the same content.
+        return (
+            self.document is document
+            and self.backend is backend
+            and self.names == names
+        )
+
+
+class Checks:
+    """Checks sets of documents; what did not change is not checked again."""
+
+    __slots__ = ("_checked",)
+
+    def __init__(self):
+        self._checked: dict[str, _Checked] = {}
+
+    def check(self, documents: list[declarations.Document]) -> list[Problem]:
+        """Returns every contradiction in a whole set of documents."""
+        checker = _Checker(documents)
+        problems: list[Problem] = []
+        for document in documents:
+            names = checker.names_for(document)
+            backend = checker.backend_for(document)
+            known = self._checked.get(document.key)
+            if known is None or not known.is_valid(document, names, backend):
+                found = checker.check_document(document)
+                known = _Checked(document, names, backend, found)
+                self._checked[document.key] = known
+            problems += known.problems
+        return problems + checker.check_overlap()
 
 
 class _Checker:
@@ -43,11 +97,33 @@
         self._problems: list[Problem] = []
         self._zones: set[str] = set()
         self._backends: dict[str, declarations.Backend] = {}
-
-    def run(self) -> list[Problem]:
         self._collect()
-        for document in self._documents:
-            self._check_document(document)
+
+    def names_for(self, document: declarations.Document) -> list[str]:
+        """Returns the declared names that the check of a document uses."""
+        if document.vms or document.backend:
+            return sorted(self._zones)
+        if document.contracts:
+            return sorted(self._backends)
+        return []
+
+    def backend_for(
+        self, document: declarations.Document
+    ) -> declarations.Backend | None:
+        """Returns the back end that the check of a document uses."""
+        if document.snapshots is None:
+            return None
+        return self._backends.get(document.snapshots.backend)
+
+    def check_document(self, document: declarations.Document) -> list[Problem]:
+        """Returns the contradictions of one document."""
+        self._problems = []
+        self._check_document(document)
+        return self._problems
+
+    def check_overlap(self) -> list[Problem]:
+        """Returns the contradictions between contracts."""
+        self._problems = []
         self._check_contract_overlap()
         return self._problems
 
--- a/tests/declarations/test_check.py
+++ b/tests/declarations/test_check.py
@@ -107,3 +107,26 @@
 def test_an_unknown_topic_is_refused():
     with pytest.raises(errors.DocumentError, match="unknown topic"):
         declared.parse("secrets/x", 1, "a: 1")
+
+
+def test_what_did_not_change_is_checked_again_when_its_context_did():
+    checks = declared.Checks()
+    documents = samples.documents()
+    assert checks.check(documents) == []
+    other_zones = declarations.Zones(
+        [declarations.Zone(name, "north") for name in ("za", "zb")]
+    )
+    documents[0] = declarations.Document("zones", 2, zones=other_zones)
+    found = "\n".join(map(str, checks.check(documents)))
+    assert found == "\n".join(map(str, declared.check(documents)))
+    assert "unknown zone 'zc'" in found
+
+
+def test_a_catalogue_uses_unchanged_indexes_again():
+    documents = samples.documents()
+    first = declared.Catalogue(documents)
+    documents[0] = declarations.Document("zones", 2, zones=samples.zones("za"))
+    second = declared.Catalogue(documents, first)
+    assert second.snapshots["desk"] is first.snapshots["desk"]
+    assert not second.is_zone_in("za")
+    assert first.is_zone_in("za")
