Find the homes of a customer once for each change of the VMs

Change: homes are kept until the declared VMs change, and a contract that did not change is not taken again.

--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -189,7 +189,7 @@
             self._source,
         )
         self._quantities = engine.QuantityKeeper(
-            self._view, self._peering, table, self._counts
+            self._view, self._peering, table, self._counts, self._rates
         )
         self._admission = engine.Admission(
             self._view,
--- a/citrondoor/engine/_quantities.py
+++ b/citrondoor/engine/_quantities.py
@@ -22,9 +22,17 @@
       peering: Links to peers.
       table: Use of every VM.
       counts: Stores this VM's use on peers.
+      rates: Knows the homes of customers.
     """
 
-    __slots__ = ("_counts", "_peering", "_table", "_view", "is_recovered")
+    __slots__ = (
+        "_counts",
+        "_peering",
+        "_rates",
+        "_table",
+        "_view",
+        "is_recovered",
+    )
 
     def __init__(
         self,
@@ -32,7 +40,9 @@
         peering: _peering.Peering,
         table: counting.QuantityTable,
         counts: _counting.CountKeeper,
+        rates: limits.RateTable,
     ):
+        self._rates = rates
         self._view = view
         self._peering = peering
         self._table = table
@@ -60,7 +70,7 @@
     def _left(self, contract: declarations.Contract, month: str) -> int:
         if not self.is_recovered:
             return 0
-        homes = limits.assign_homes(self._view.catalogue, contract.customer)
+        homes = self._rates.homes_of(contract.customer)
         return self._table.left(
             contract.customer, month, contract.monthly_quantity, homes
         )
@@ -68,7 +78,7 @@
     async def _borrow(
         self, contract: declarations.Contract, month: str
     ) -> None:
-        homes = limits.assign_homes(self._view.catalogue, contract.customer)
+        homes = self._rates.homes_of(contract.customer)
         share = contract.monthly_quantity // max(1, len(homes))
         wanted = max(MIN_ASK, int(share * ASK_SHARE))
         request = messages.QuantityRequest(
@@ -92,7 +102,7 @@
         request.borrower = sender
         if contract is None or self._left(contract, request.month) < 1:
             return self._grant(request, None)
-        homes = limits.assign_homes(self._view.catalogue, request.customer)
+        homes = self._rates.homes_of(request.customer)
         before = self._table.snapshot_use(request.customer, request.month)
         if not self._table.give(request, contract.monthly_quantity, homes):
             return self._grant(request, None)
--- a/citrondoor/limits/_rates.py
+++ b/citrondoor/limits/_rates.py
@@ -245,6 +245,7 @@
 
     __slots__ = (
         "_catalogue",
+        "_homes",
         "_known_revision",
         "_rates",
         "_started_at",
@@ -258,21 +259,44 @@
         self._started_at = started_at
         self._known_revision = known_revision
         self._rates: dict[str, CustomerRate] = {}
+        self._homes: dict[str, list[str]] = {}
         self._catalogue = declared.Catalogue([])
 
     def set_catalogue(self, catalogue: declared.Catalogue, now: int) -> None:
         """Takes the contracts and VMs in force."""
+        if catalogue.vms_revision != self._catalogue.vms_revision:
+            self._homes.clear()
+        before = self._catalogue
         self._catalogue = catalogue
         for customer in list(self._rates):
             if customer not in catalogue.contracts:
                 del self._rates[customer]
-            else:
-                self._assign(customer, self._rates[customer], now)
-        # Tokens of a home fill up before the first request comes.
-        for customer in catalogue.contracts:
-            homes = _shares.assign_homes(catalogue, customer)
-            if self._vm in homes:
-                self.rate_of(customer, now)
+                self._homes.pop(customer, None)
+        for customer, contract in catalogue.contracts.items():
+            # The same objects, the same homes: nothing to take.
+            if customer in self._homes and (
+                before.contracts.get(customer) is contract
+            ):
+                continue
+            self._take(customer, contract, now)
+
+    def _take(
+        self, customer: str, contract: declarations.Contract, now: int
+    ) -> None:
+        homes = _shares.assign_homes(self._catalogue, customer)
+        self._homes[customer] = homes
+        rate = self._rates.get(customer)
+        if rate is not None:
+            rate.set_contract(
+                contract, self._catalogue.vms_revision, homes, now
+            )
+        elif self._vm in homes:
+            # Tokens of a home fill up before the first request comes.
+            self.rate_of(customer, now)
+
+    def homes_of(self, customer: str) -> list[str]:
+        """Returns the VMs that hold shares of a customer's contract."""
+        return self._homes.get(customer, [])
 
     def refresh(self, now: int) -> None:
         """Lets tokens fill at the shares of this time; call it regularly."""
@@ -290,7 +314,9 @@
         rate = CustomerRate(
             self._vm, contract, self._started_at, self._known_revision
         )
-        self._assign(customer, rate, now)
+        rate.set_contract(
+            contract, self._catalogue.vms_revision, self._homes[customer], now
+        )
         self._rates[customer] = rate
         return rate
 
@@ -303,8 +329,3 @@
             for vm, request in rate.asks(now).items():
                 by_vm.setdefault(vm, []).append(request)
         return by_vm
-
-    def _assign(self, customer: str, rate: CustomerRate, now: int) -> None:
-        contract = self._catalogue.contracts[customer]
-        homes = _shares.assign_homes(self._catalogue, customer)
-        rate.set_contract(contract, self._catalogue.vms_revision, homes, now)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -197,7 +197,7 @@
             self.view, self.peering, self.ledger, self.table, source
         )
         quantities = engine.QuantityKeeper(
-            self.view, self.peering, self.table, self.counts
+            self.view, self.peering, self.table, self.counts, self.rates
         )
         quantities.is_recovered = True
         self.admission = engine.Admission(
