--- a/citrondoor/configuration/_readers.py
+++ b/citrondoor/configuration/_readers.py
@@ -4,6 +4,9 @@
 
 # Without news for this long, the number of readers doubles.
 ESCALATION_MS = 3000
+# All readers together must stay below 2,000 reads a second; one that gets no
+# answer reads about once a second.
+MAX_READERS = 1000
 
 
 class ReaderChoice:
@@ -36,6 +39,6 @@
         """
         epoch = wall_ms // self._epoch_ms
         doublings = min(silence_ms // ESCALATION_MS, len(live_vms).bit_length())
-        wanted = self._readers << doublings
+        wanted = min(MAX_READERS, self._readers << doublings)
         ranking = rendezvous.rank(f"reader/{epoch}", live_vms)
         return self._vm in ranking[:wanted]
--- a/citrondoor/daemon/__init__.py
+++ b/citrondoor/daemon/__init__.py
@@ -1,1 +1,5 @@
 """The daemon: one process on each entry VM."""
+
+from citrondoor.daemon._settings import read_settings
+
+__all__ = ["read_settings"]
--- a/citrondoor/front/_status.py
+++ b/citrondoor/front/_status.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable
 
 from citrondoor import declarations as declared
+from citrondoor import engine
 from citrondoor import links
-from citrondoor.engine import _view
 from citrondoor.schema import messages
 
 
@@ -31,7 +31,7 @@
 
     def __init__(
         self,
-        view: _view.View,
+        view: engine.View,
         pool: links.UpstreamPool,
         incarnation: int,
         state: Callable[[], str],
--- a/citrondoor/membership/_entries.py
+++ b/citrondoor/membership/_entries.py
@@ -3,8 +3,8 @@
 import random
 
 from citrondoor import declarations as declared
+from citrondoor import limits
 from citrondoor import rendezvous
-from citrondoor.limits import _shares
 from citrondoor.schema import declarations
 
 MAX_ENTRIES = 5
@@ -34,8 +34,8 @@
       source: Random source.
     """
     names = [name for name in live if catalogue.is_vm_in(name)]
-    if customer is not None and len(names) > _shares.MAX_HOMES:
-        homes = set(_shares.assign_homes(catalogue, customer))
+    if customer is not None and len(names) > limits.MAX_HOMES:
+        homes = set(limits.assign_homes(catalogue, customer))
         names = [n for n in names if n in homes] or names
     if session:
         names = rendezvous.rank(f"entry/{session}", names)
--- a/citrondoor/runs/_arbiter.py
+++ b/citrondoor/runs/_arbiter.py
@@ -2,7 +2,7 @@
 
 import enum
 
-from citrondoor.counting import _ranges
+from citrondoor import counting
 from citrondoor.schema import messages
 
 # Results are kept this long for callers that ask again, in milliseconds.
@@ -36,7 +36,7 @@
     __slots__ = ("_begun", "_in_progress", "_results")
 
     def __init__(self):
-        self._begun: dict[tuple[str, str], _ranges.RangeSet] = {}
+        self._begun: dict[tuple[str, str], counting.RangeSet] = {}
         self._in_progress: set[tuple[str, str, int]] = set()
         self._results: dict[tuple[str, str, int], _Result] = {}
 
@@ -53,7 +53,7 @@
         if key in self._results:
             return Begun.REPEATED
         place = (customer, request_id.session)
-        numbers = self._begun.setdefault(place, _ranges.RangeSet())
+        numbers = self._begun.setdefault(place, counting.RangeSet())
         if not numbers.add(request_id.number):
             return Begun.FORGOTTEN
         self._in_progress.add(key)
--- a/citrondoor/standins/faulty_daemon.py
+++ b/citrondoor/standins/faulty_daemon.py
@@ -11,7 +11,7 @@
 import click
 import orjson
 
-from citrondoor.daemon import _settings
+from citrondoor import daemon
 from citrondoor.daemon import main as daemon_main
 
 POLL_S = 0.05
@@ -96,7 +96,7 @@
 )
 def main(path: pathlib.Path) -> None:
     """Runs a daemon whose links can be cut."""
-    settings = _settings.read_settings(path)
+    settings = daemon.read_settings(path)
     own = f"{settings.address}:{settings.peer_port}"
     partition = _Partition(path.parent / PARTITION_FILE, own)
     daemon_main.run(settings, random.Random(), _Connector(partition))
--- a/tests/configuration/test_readers.py
+++ b/tests/configuration/test_readers.py
@@ -1,4 +1,5 @@
 from citrondoor import configuration
+from citrondoor import rendezvous
 
 VMS = [f"vm-{number}" for number in range(6300)]
 
@@ -25,3 +26,13 @@
     vms = VMS[:40]
     sizes = [len(readers(vms, silence_ms=ms)) for ms in (0, 3000, 6000, 60_000)]
     assert sizes == [2, 4, 8, 40]
+
+
+def test_silence_never_makes_all_of_a_large_fleet_read():
+    ranking = rendezvous.rank("reader/0", VMS)
+    choice = {
+        vm: configuration.ReaderChoice(vm, 2, 60_000)
+        for vm in (ranking[0], ranking[999], ranking[1000], ranking[-1])
+    }
+    reading = [vm for vm, c in choice.items() if c.is_reader(VMS, 0, 3_600_000)]
+    assert reading == [ranking[0], ranking[999]]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,6 +4,8 @@
 import itertools
 import random
 
+import orjson
+
 from citrondoor import clock as clocks
 from citrondoor import configuration
 from citrondoor import counting
@@ -11,9 +13,9 @@
 from citrondoor import errors
 from citrondoor import limits
 from citrondoor import membership
+from citrondoor import routing
 from citrondoor import runs
 from citrondoor import timeline
-from citrondoor.codecs import upstreams as codec
 from citrondoor.schema import messages
 from citrondoor.schema import settings as schema_settings
 from tests import samples
@@ -120,7 +122,7 @@
         if outcome != OUTCOME.ANSWERED:
             return answer
         body = call.payload.split(b"\r\n\r\n", 1)[1]
-        content = codec.orjson.loads(body)
+        content = orjson.loads(body)
         if "body" in content:
             answer.result = f"did {content['body']}"
             return answer
@@ -143,9 +145,7 @@
         self._observations = {}
 
     def observations_of(self, backend: str):
-        return self._observations.setdefault(
-            backend, engine._search.routing.Observations()
-        )
+        return self._observations.setdefault(backend, routing.Observations())
 
     def set_catalogue(self, catalogue) -> None:
         self.links = {
--- /dev/null
+++ b/tests/merging/test_merge.py
@@ -0,0 +1,41 @@
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from citrondoor import merging
+from citrondoor.schema import messages
+
+
+def random_answers(source: random.Random) -> list[messages.ShardAnswer]:
+    answers = []
+    for shard in range(source.randrange(6)):
+        hits = sorted(
+            (
+                (float(source.randrange(4)), f"r{source.randrange(30):02d}")
+                for _ in range(source.randrange(8))
+            ),
+            key=lambda hit: (-hit[0], hit[1]),
+        )
+        answers.append(
+            messages.ShardAnswer(
+                f"s{shard}", 9, [s for s, _ in hits], [r for _, r in hits]
+            )
+        )
+    return answers
+
+
+@hypothesis.given(
+    seed=strategies.integers(0, 1 << 30), top=strategies.integers(0, 12)
+)
+def test_it_is_the_head_of_the_whole_order(seed, top):
+    answers = random_answers(random.Random(seed))
+    rows = [
+        (-score, record, answer.shard)
+        for answer in answers
+        for score, record in zip(answer.scores, answer.ids, strict=True)
+    ]
+    expected = sorted(rows)[: top or None]
+    random.Random(seed).shuffle(answers)
+    merged = merging.merge_hits(answers, top)
+    assert [(-h.score, h.record, h.shard) for h in merged] == expected
