End accepted peer links without an error in the log

Cause: the logs of a soak held 60 tracebacks of cancelled connection tasks from daemons that were shutting down; the library's callback takes a cancelled task for an error. Change: the server starts the tasks of accepted links itself and cancels them. Before: a traceback for each accepted link at each restart.

--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -345,7 +345,7 @@
         "_on_garbage",
         "_server",
         "_settings",
-        "_writers",
+        "_tasks",
         "bytes_received",
         "bytes_sent",
     )
@@ -360,7 +360,7 @@
         self._handler = handler
         self._on_garbage = on_garbage
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -371,18 +371,25 @@
 
     async def start(self, address: str, port: int) -> None:
         """Listens for peers; port 0 takes a free one."""
-        self._server = await asyncio.start_server(self._serve, address, port)
+        self._server = await asyncio.start_server(self._accept, address, port)
 
     async def close(self) -> None:
         """Stops listening and closes all links."""
         self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        # A task of our own: the library logs a cancelled one as an error.
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._writers.add(writer)
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
                 channel = await _shake_hands(
@@ -394,7 +401,6 @@
         except* (OSError, EOFError):
             pass
         finally:
-            self._writers.discard(writer)
             writer.transport.abort()
 
     async def _answer(self, channel: _Channel) -> None:
