Cut the idle CPU of control: ask wardens only when wanted, beat each 500 ms

A sampling profile of an idle daemon showed a quarter of it in the loop that asks wardens, which went over every cold searcher 50 times a second, and most of the rest in heartbeats. Ruled out: fewer neighbours; news would take more rounds. Change: only searchers that queries want are looked at, and the loop sleeps until there is one; heartbeats each 500 ms, suspicion after 1.5 s, death after 3 s.

--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -142,7 +142,9 @@
             freshness,
             self._recorder,
         )
-        self._warmth = limits.Warmth(settings.vm, self._on_cold)
+        self._warmth = limits.Warmth(
+            settings.vm, self._on_cold, self._on_wanted
+        )
 
     def _build_peering(self, connector) -> None:
         settings = self._settings
@@ -288,6 +290,9 @@
         # The others send to this searcher as well, until they know.
         self._peering.hurry()
 
+    def _on_wanted(self) -> None:
+        self._warmth_keeper.wake()
+
     def _on_catalogue(self, catalogue: declared.Catalogue) -> None:
         now = self._clock.now()
         self._peering.set_catalogue(catalogue)
--- a/citrondoor/engine/_warmth.py
+++ b/citrondoor/engine/_warmth.py
@@ -25,7 +25,14 @@
       in_flight: Returns this daemon's calls in flight at a searcher.
     """
 
-    __slots__ = ("_in_flight", "_peering", "_tasks", "_view", "_warmth")
+    __slots__ = (
+        "_in_flight",
+        "_is_wanted",
+        "_peering",
+        "_tasks",
+        "_view",
+        "_warmth",
+    )
 
     def __init__(
         self,
@@ -35,6 +42,7 @@
         in_flight: Callable[[str], int],
     ):
         self._in_flight = in_flight
+        self._is_wanted = asyncio.Event()
         self._view = view
         self._peering = peering
         self._warmth = warmth
@@ -44,10 +52,16 @@
     async def run(self) -> None:
         """Asks as long as queries want cold searchers."""
         while True:
-            if self._warmth.cold_count:
-                self._ask_all()
+            await self._is_wanted.wait()
+            self._ask_all()
+            if not self._warmth.wanted_count:
+                self._is_wanted.clear()
             await asyncio.sleep(ASK_EVERY_MS / clocks.MS_PER_S)
 
+    def wake(self) -> None:
+        """Begins to ask: a query wants a cold searcher."""
+        self._is_wanted.set()
+
     def _ask_all(self) -> None:
         now = self._view.clock.now()
         wanted = self._warmth.asks(WANTED_CALLS, self._in_flight, now)
--- a/citrondoor/limits/_warmth.py
+++ b/citrondoor/limits/_warmth.py
@@ -88,6 +88,7 @@
     Args:
       vm: Name of this VM.
       on_cold: Called when this daemon itself finds a searcher cold.
+      on_wanted: Called when a query wants a searcher that no ask is due for.
     """
 
     __slots__ = (
@@ -96,12 +97,22 @@
         "_members",
         "_news",
         "_on_cold",
+        "_on_wanted",
         "_vm",
+        "_wanted",
         "_warm",
         "_warmed",
     )
 
-    def __init__(self, vm: str, on_cold: Callable[[], None] = lambda: None):
+    def __init__(
+        self,
+        vm: str,
+        on_cold: Callable[[], None] = lambda: None,
+        on_wanted: Callable[[], None] = lambda: None,
+    ):
+        self._on_wanted = on_wanted
+        # Cold searchers that queries want or that hold a lease.
+        self._wanted: set[str] = set()
         self._vm = vm
         self._on_cold = on_cold
         self._cold: dict[str, _Cold] = {}
@@ -119,6 +130,11 @@
         """Searchers that are not warm."""
         return len(self._cold)
 
+    @property
+    def wanted_count(self) -> int:
+        """Cold searchers to ask wardens for."""
+        return len(self._wanted)
+
     def is_cold(self, searcher: str) -> bool:
         """Returns whether a searcher is cold."""
         return searcher in self._cold
@@ -180,6 +196,9 @@
         if cold is None:
             return UNLIMITED
         cold.wanted_until = now + WANT_MS
+        if searcher not in self._wanted:
+            self._wanted.add(searcher)
+            self._on_wanted()
         return cold.calls if now < cold.calls_until else 0
 
     def on_answered(self, searcher: str) -> None:
@@ -199,10 +218,17 @@
           now: Reading of the clock.
         """
         by_warden: dict[str, list[messages.WarmthAsk]] = {}
-        for name, cold in self._cold.items():
+        for name in list(self._wanted):
+            cold = self._cold.get(name)
             open_calls = in_flight(name)
-            is_wanted = now < cold.wanted_until or open_calls > 0
-            if cold.warden is None or not (is_wanted or cold.calls):
+            is_wanted = cold is not None and (
+                now < cold.wanted_until or open_calls > 0
+            )
+            if not is_wanted:
+                self._wanted.discard(name)
+            if cold is None or cold.warden is None:
+                continue
+            if not (is_wanted or cold.calls):
                 continue
             calls = wanted_calls if is_wanted else 0
             if not is_wanted:
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -14,9 +14,9 @@
 struct PeerSettings {
   // Shared key of the fleet, hexadecimal, at least 32 digits.
   1: required string key
-  2: i32 heartbeat_ms = 250
-  3: i32 suspect_ms = 1000
-  4: i32 dead_ms = 2500
+  2: i32 heartbeat_ms = 500
+  3: i32 suspect_ms = 1500
+  4: i32 dead_ms = 3000
   5: i32 neighbours = 8
   6: i32 max_frame_bytes = 8388608
   7: i32 request_timeout_ms = 500
