Look a hedge's quantile up once per latency seen; remove what nobody calls

Cause: reading the whole change again. Each sub-request scanned the 80 buckets of the latency histogram for its hedge, with the same result for all of a query; pushing and pulling configuration had the same body twice; seven members had no caller: keep_only, up_links, running_count, replace, session_count, merge, and the fields withdrawn and index. Change: a quantile is kept until the next latency is added, one function runs both exchanges, the rest is gone. Behaviour and tests are as before; the tests pass and the demonstration's answers equal a direct scan.

--- a/citrondoor/counting/_ledger.py
+++ b/citrondoor/counting/_ledger.py
@@ -52,11 +52,6 @@
         self._sets: dict[Key, _ranges.RangeSet] = {}
         self._digests: list[int | None] = [0] * DIGEST_BUCKETS
 
-    @property
-    def session_count(self) -> int:
-        """Sessions with at least one counted request, by month."""
-        return len(self._sets)
-
     @property
     def range_count(self) -> int:
         """Ranges that all sessions take together."""
--- a/citrondoor/engine/_configuration.py
+++ b/citrondoor/engine/_configuration.py
@@ -1,6 +1,7 @@
 """Gets configuration from the platform and from peers into force."""
 
 import asyncio
+from collections.abc import Awaitable
 
 from citrondoor import clock as clocks
 from citrondoor import configuration
@@ -194,32 +195,23 @@
         )
 
     def _on_peer_revision(self, link: links.PeerLink, revision: int) -> None:
-        if link.name in self._exchanging:
+        if link.name in self._exchanging or revision == self._store.revision:
             return
         if revision > self._store.revision:
-            self._exchanging.add(link.name)
-            self._spawn(self._pull_quietly(link))
-        elif revision < self._store.revision:
-            self._exchanging.add(link.name)
-            self._spawn(self._push_quietly(link, revision))
+            exchange = self.pull(link)
+        else:
+            exchange = link.ask(_bodies.wrap(self._newer_than(revision)))
+        self._exchanging.add(link.name)
+        self._spawn(self._exchange_quietly(link.name, exchange))
 
-    async def _push_quietly(self, link: links.PeerLink, revision: int) -> None:
+    async def _exchange_quietly(self, name: str, exchange: Awaitable) -> None:
         try:
-            await link.ask(_bodies.wrap(self._newer_than(revision)))
+            await exchange
         except errors.CitrondoorError:
             # The next heartbeat finds the difference again.
             pass
         finally:
-            self._exchanging.discard(link.name)
-
-    async def _pull_quietly(self, link: links.PeerLink) -> None:
-        try:
-            await self.pull(link)
-        except errors.CitrondoorError:
-            # The next heartbeat finds the difference again.
-            pass
-        finally:
-            self._exchanging.discard(link.name)
+            self._exchanging.discard(name)
 
     async def _on_request(
         self, request: messages.ConfigRequest, sender: str
--- a/citrondoor/engine/_peering.py
+++ b/citrondoor/engine/_peering.py
@@ -142,10 +142,6 @@
         link = self._links.get(vm)
         return link if link is not None and link.is_up else None
 
-    def up_links(self) -> list[links.PeerLink]:
-        """Returns the links that are up, seeds included."""
-        return [link for link in self._links.values() if link.is_up]
-
     async def ask(self, vm: str, message, timeout_ms: int = 0):
         """Returns a peer's reply to a message.
 
--- a/citrondoor/limits/_gate.py
+++ b/citrondoor/limits/_gate.py
@@ -36,12 +36,11 @@
 
 
 class _Waiting:
-    __slots__ = ("call", "deadline_at", "withdrawn")
+    __slots__ = ("call", "deadline_at")
 
     def __init__(self, call, deadline_at: int):
         self.call = call
         self.deadline_at = deadline_at
-        self.withdrawn = False
 
 
 class Gate:
--- a/citrondoor/routing/_observations.py
+++ b/citrondoor/routing/_observations.py
@@ -31,13 +31,21 @@
 class BackendLatency:
     """Learns the quantiles of sub-request latency of one back end."""
 
-    __slots__ = ("_buckets", "_count", "_median", "_since_halved")
+    __slots__ = (
+        "_buckets",
+        "_count",
+        "_median",
+        "_quantiles",
+        "_since_halved",
+    )
 
     def __init__(self):
         self._buckets = [0.0] * _BUCKET_COUNT
         self._count = 0.0
         self._since_halved = 0
         self._median = DEFAULT_LATENCY_MS
+        # Quantiles asked for since the last latency was added.
+        self._quantiles: dict[float, float] = {}
 
     @property
     def median_ms(self) -> float:
@@ -46,6 +54,7 @@
 
     def observe(self, latency_ms: float) -> None:
         """Adds one latency."""
+        self._quantiles.clear()
         if latency_ms >= len(_BUCKET_OF_MS):
             self._buckets[_BUCKET_COUNT - 1] += 1
         else:
@@ -64,6 +73,12 @@
         """
         if self._count < MIN_SAMPLES:
             return None
+        known = self._quantiles.get(share)
+        if known is None:
+            known = self._quantiles[share] = self._scan(share)
+        return known
+
+    def _scan(self, share: float) -> float:
         wanted = self._count * share
         seen = 0.0
         for index, weight in enumerate(self._buckets):
@@ -127,14 +142,6 @@
             return self._latency.median_ms
         return self._aged(seen, now)
 
-    def keep_only(self, searchers) -> None:
-        """Forgets searchers that are no longer declared."""
-        self._searchers = {
-            name: seen
-            for name, seen in self._searchers.items()
-            if name in searchers
-        }
-
     def _aged(self, seen: _Seen, now: int) -> float:
         age = now - seen.renewed_at
         if age <= 0:
--- a/citrondoor/routing/_parts.py
+++ b/citrondoor/routing/_parts.py
@@ -12,7 +12,6 @@
         "exhausted",
         "group",
         "hedge_at",
-        "index",
         "lacking",
         "open_attempts",
         "retry_at",
@@ -21,8 +20,7 @@
         "was_sent",
     )
 
-    def __init__(self, index: int, group: declared.ReplicaGroup):
-        self.index = index
+    def __init__(self, group: declared.ReplicaGroup):
         self.group = group
         self.answered = False
         self.exhausted = False
--- a/citrondoor/routing/_query.py
+++ b/citrondoor/routing/_query.py
@@ -256,7 +256,7 @@
         self._tried_snapshots.add(snapshot.name)
         self._answers = []
         groups = self._wanted_groups(snapshot)
-        self._parts = [_parts.Part(i, group) for i, group in enumerate(groups)]
+        self._parts = [_parts.Part(group) for group in groups]
         self._open_parts = len(self._parts)
         self._budget.earn(len(groups))
         sub_requests = []
--- a/citrondoor/runs/_arbiter.py
+++ b/citrondoor/runs/_arbiter.py
@@ -40,11 +40,6 @@
         self._in_progress: set[tuple[str, str, int]] = set()
         self._results: dict[tuple[str, str, int], _Result] = {}
 
-    @property
-    def running_count(self) -> int:
-        """Requests that are being executed."""
-        return len(self._in_progress)
-
     def begin(self, customer: str, request_id: messages.RequestId) -> Begun:
         """Claims the right to run an id; only `FIRST` may be sent upstream."""
         key = (customer, request_id.session, request_id.number)
@@ -72,17 +67,6 @@
         self._results[key] = _Result(reply, now)
         self._drop_old(now)
 
-    def replace(
-        self,
-        customer: str,
-        request_id: messages.RequestId,
-        reply: messages.RunReply,
-        now: int,
-    ) -> None:
-        """Replaces an unknown outcome by a result that came late."""
-        key = (customer, request_id.session, request_id.number)
-        self._results[key] = _Result(reply, now)
-
     def reply_of(
         self, customer: str, request_id: messages.RequestId
     ) -> messages.RunReply:
--- a/citrondoor/timeline/_recorder.py
+++ b/citrondoor/timeline/_recorder.py
@@ -47,9 +47,3 @@
     def after(self, wall_ms: int) -> list[messages.Event]:
         """Returns events later than a wall reading, oldest first."""
         return [event for event in self._events if event.wall_ms > wall_ms]
-
-
-def merge(lists: list[list[messages.Event]]) -> list[messages.Event]:
-    """Returns the events of several daemons in one order."""
-    events = [event for events in lists for event in events]
-    return sorted(events, key=lambda e: (e.wall_ms, e.vm, e.kind))
