--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -37,6 +37,7 @@
     __slots__ = (
         "_arrived",
         "_error",
+        "_is_stopping",
         "_reader",
         "_requests",
         "_writable",
@@ -52,6 +53,7 @@
         self._arrived: asyncio.Future | None = None
         self._writable: asyncio.Future | None = None
         self._error: http1.ProtocolError | None = None
+        self._is_stopping = False
         self.left = asyncio.get_running_loop().create_future()
         self.transport: asyncio.Transport | None = None
         on_open(self)
@@ -110,6 +112,8 @@
                 raise self._error
             if self.left.done():
                 return None
+            if self._is_stopping and not self.is_busy_reading:
+                return None
             was_reading = self.is_busy_reading
             limit_ms = whole_ms if was_reading else idle_ms
             if not await self._wait(limit_ms):
@@ -136,9 +140,9 @@
         self._wake()
 
     def stop_waiting(self) -> None:
-        """Ends a wait for a request that has not begun to arrive."""
-        if not self._requests and not self.is_busy_reading:
-            self._leave()
+        """Takes no further request unless it has begun to arrive."""
+        self._is_stopping = True
+        self._wake()
 
     def _wake(self) -> None:
         if self._arrived is not None and not self._arrived.done():
--- /dev/null
+++ b/tests/links/test_http_server.py
@@ -0,0 +1,172 @@
+import asyncio
+
+import pytest
+
+from citrondoor import links
+from citrondoor.codecs import http1
+from citrondoor.schema import serving
+
+LIMITS = serving.CallerLimits(400, 1000, 300, 400)
+GET = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
+
+
+class Echo:
+    """Answers with the target after a pause; notes what it saw."""
+
+    def __init__(self, pause_s: float = 0.0):
+        self.pause_s = pause_s
+        self.seen: list[http1.Request] = []
+        self.left_count = 0
+
+    async def handle(self, request, left):
+        self.seen.append(request)
+        if self.pause_s:
+            await asyncio.wait((left,), timeout=self.pause_s)
+        if left.done():
+            self.left_count += 1
+            return None
+        return http1.Response(200, [], request.target)
+
+    def refuse(self, error):
+        return http1.Response(error.status, [], b"")
+
+
+async def start(handler) -> links.HttpServer:
+    server = links.HttpServer(handler, lambda: LIMITS)
+    await server.start("127.0.0.1", 0)
+    return server
+
+
+async def connect(server):
+    return await asyncio.open_connection("127.0.0.1", server.port)
+
+
+async def exchange(server, data: bytes) -> bytes:
+    reader, writer = await connect(server)
+    writer.write(data)
+    try:
+        async with asyncio.timeout(2):
+            return await reader.read(65536)
+    finally:
+        writer.close()
+
+
+def run(coroutine):
+    return asyncio.run(coroutine)
+
+
+def test_a_request_that_was_read_is_answered_although_the_server_closes():
+    # Found by the bench: hvk-search trouble-2, a request cut 15 ms after it
+    # was read, as the shutdown reached the end of its serving time.
+    async def body():
+        handler = Echo(pause_s=0.1)
+        server = await start(handler)
+        reader, writer = await connect(server)
+        writer.write(GET)
+        await asyncio.sleep(0.03)
+        await server.close(1000)
+        answer = await reader.read(65536)
+        writer.close()
+        return answer, handler.left_count
+
+    answer, left_count = run(body())
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert b"connection: close" in answer
+    assert left_count == 0
+
+
+def test_an_idle_connection_is_closed_at_shutdown():
+    async def body():
+        server = await start(Echo())
+        reader, writer = await connect(server)
+        await asyncio.sleep(0.02)
+        await server.close(1000)
+        async with asyncio.timeout(0.3):
+            return await reader.read(10)
+
+    assert run(body()) == b""
+
+
+def test_requests_of_one_connection_are_answered_in_order():
+    async def body():
+        server = await start(Echo())
+        reader, writer = await connect(server)
+        writer.write(GET + GET.replace(b"/a", b"/b"))
+        await asyncio.sleep(0.05)
+        return await reader.read(65536)
+
+    answer = run(body())
+    assert answer.index(b"/a") < answer.index(b"/b")
+
+
+def test_a_caller_that_leaves_ends_its_request():
+    async def body():
+        handler = Echo(pause_s=5)
+        server = await start(handler)
+        _, writer = await connect(server)
+        writer.write(GET)
+        await asyncio.sleep(0.03)
+        writer.close()
+        await asyncio.sleep(0.05)
+        return handler.left_count
+
+    assert run(body()) == 1
+
+
+def test_a_connection_stays_open_for_the_whole_idle_time():
+    async def body():
+        server = await start(Echo())
+        reader, writer = await connect(server)
+        await asyncio.sleep(0.8 * LIMITS.idle_timeout_ms / 1000)
+        writer.write(GET)
+        return await reader.read(65536)
+
+    assert run(body()).startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"\x00\x01\x02\r\n\r\n", 400),
+        (b"GET /a HTTP/1.1\r\nhost: \x00\r\n\r\n", 400),
+        (GET[:-2] + b"x: " + b"y" * 500 + b"\r\n\r\n", 431),
+        (b"POST /a HTTP/1.1\r\ncontent-length: 2000\r\n\r\n", 413),
+        (
+            b"POST /a HTTP/1.1\r\ncontent-length: 2\r\n"
+            b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+            400,
+        ),
+        (
+            b"POST /a HTTP/1.1\r\ncontent-length: 2\r\n"
+            b"content-length: 3\r\n\r\nabc",
+            400,
+        ),
+        (b"GET /a HTTP/1.1\r\nhost", 408),
+        (b"POST /a HTTP/1.1\r\ncontent-length: 9\r\n\r\nab", 408),
+    ],
+)
+def test_bytes_that_are_no_request_get_a_refusal_and_reach_nobody(data, status):
+    async def body():
+        handler = Echo()
+        server = await start(handler)
+        answer = await exchange(server, data)
+        return answer, handler.seen
+
+    answer, seen = run(body())
+    assert answer.startswith(b"HTTP/1.1 %d " % status)
+    assert seen == []
+
+
+def test_a_chunked_body_arrives_whole():
+    async def body():
+        handler = Echo()
+        server = await start(handler)
+        await exchange(
+            server,
+            b"POST /a HTTP/1.1\r\ntransfer-encoding: chunked\r\n"
+            b"connection: close\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+        )
+        return handler.seen
+
+    (request,) = run(body())
+    assert request.body == b"abcde"
