--- /dev/null
+++ b/tests/fanout/test_budget.py
@@ -0,0 +1,57 @@
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from citrondoor import clock as clocks
+from citrondoor import fanout
+from citrondoor.schema import serving
+
+BOUNDS = serving.BoundSettings(extra_ratio=0.2, extra_slack=54)
+WINDOW_MS = int(BOUNDS.extra_window_s * clocks.MS_PER_S)
+
+
+def count_in(times, start):
+    return sum(start <= at < start + WINDOW_MS for at in times)
+
+
+@hypothesis.given(
+    strategies.integers(1, 7), strategies.integers(0, 2**32), strategies.data()
+)
+def test_all_daemons_together_stay_within_the_bound(members, seed, data):
+    # Every request wants an extra send, as when all searchers are slow.
+    rate = data.draw(strategies.integers(1, 60))
+    source = random.Random(seed)
+    daemons = [fanout.ExtraBudgets(BOUNDS, members) for _ in range(members)]
+    requests, extras = [], []
+    now = 1000
+    while now < 35_000:
+        now += int(source.expovariate(rate) * clocks.MS_PER_S) + 1
+        daemon = source.choice(daemons)
+        daemon.note_request("store", now)
+        requests.append(now)
+        if daemon.take("store", now):
+            extras.append(now)
+    for start in extras:
+        # The rule takes the best of this window and the ones before.
+        allowed = BOUNDS.extra_slack + BOUNDS.extra_ratio * max(
+            count_in(requests, start),
+            count_in(requests, start - WINDOW_MS // 2),
+            count_in(requests, start - WINDOW_MS),
+        )
+        assert count_in(extras, start) <= allowed
+
+
+def test_an_idle_back_end_has_its_part_of_the_slack():
+    budgets = fanout.ExtraBudgets(BOUNDS, 5)
+    taken = sum(budgets.take("store", 1000) for _ in range(100))
+    assert 1 <= taken <= BOUNDS.extra_slack / 5
+    assert budgets.denied == 100 - taken
+
+
+def test_what_was_spent_comes_back_after_the_window():
+    budgets = fanout.ExtraBudgets(BOUNDS, 1)
+    while budgets.take("store", 1000):
+        pass
+    assert not budgets.take("store", 1000 + WINDOW_MS - 1)
+    assert budgets.take("store", 1000 + 2 * WINDOW_MS)
--- /dev/null
+++ b/tests/fanout/test_latency.py
@@ -0,0 +1,24 @@
+from citrondoor import fanout
+from citrondoor.fanout import _latency
+
+
+def test_the_delay_follows_the_usual_latency_and_ends_before_the_target():
+    latencies = fanout.RouteLatencies()
+    first = latencies.hedge_after_ms("r", 100)
+    assert first == _latency.FIRST_HEDGE_SHARE * 100
+    for _ in range(100):
+        latencies.observe("r", 12)
+    assert 12 < latencies.hedge_after_ms("r", 100) < 25
+    for _ in range(400):
+        latencies.observe("r", 90)
+    assert (
+        latencies.hedge_after_ms("r", 100) == _latency.LATEST_HEDGE_SHARE * 100
+    )
+
+
+def test_routes_do_not_mix():
+    latencies = fanout.RouteLatencies()
+    for _ in range(100):
+        latencies.observe("slow", 90)
+        latencies.observe("fast", 4)
+    assert latencies.usual_ms("fast") < 10 < latencies.usual_ms("slow")
--- /dev/null
+++ b/tests/routes/test_targets.py
@@ -0,0 +1,33 @@
+import collections
+import random
+
+import pytest
+
+from citrondoor import errors
+from citrondoor import routes
+from citrondoor.schema import serving
+from tests import serving_samples as samples
+
+
+def test_every_shard_is_a_group():
+    bound = routes.BoundRoute(samples.gather(["s1", "s2"]), 1)
+    groups = routes.choose_groups(bound.target, random.Random(1))
+    assert groups == ("s1", "s2")
+
+
+def test_weighted_back_ends_get_their_share():
+    parts = [
+        serving.WeightedBackend("old", 3.0),
+        serving.WeightedBackend("new", 1.0),
+    ]
+    bound = routes.BoundRoute(samples.route(backends=parts), 1)
+    source = random.Random(1)
+    counts = collections.Counter(
+        routes.choose_groups(bound.target, source)[0] for _ in range(4000)
+    )
+    assert abs(counts["new"] / 4000 - 0.25) < 0.03
+
+
+def test_another_kind_of_target_is_refused_by_name():
+    with pytest.raises(errors.ParameterError, match="int"):
+        routes.choose_groups(3, random.Random(1))
