Hold removals back only after an outage for the whole fleet

Change: removals wait only when nobody in the fleet had reached the store for 2 s; entries lapse after 3.6 s of silence.

--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -37,7 +37,6 @@
     __slots__ = (
         "_by_backend",
         "_evacuated",
-        "_is_store_lost",
         "_listener",
         "_records",
         "_revision",
@@ -50,7 +49,6 @@
         self._records: dict[str, _Record] = {}
         self._by_backend: dict[str, list[serving.Upstream]] | None = None
         self._evacuated: frozenset[str] = frozenset()
-        self._is_store_lost = False
         self._store_back_at: int | None = None
         self._revision = -1
         self._version = 0
@@ -94,15 +92,9 @@
             self._evacuated = zones
             self._changed()
 
-    def note_store_lost(self) -> None:
-        """Notes that the store does not answer."""
-        self._is_store_lost = True
-
-    def note_store_back(self, now: int) -> None:
-        """Notes that the store answers."""
-        if self._is_store_lost:
-            self._is_store_lost = False
-            self._store_back_at = now
+    def note_store_away(self, now: int) -> None:
+        """Notes that the store answers after nobody could reach it."""
+        self._store_back_at = now
 
     def take_listing(
         self, upstreams: list[serving.Upstream], revision: int, now: int
@@ -156,8 +148,6 @@
         ]
 
     def _is_returning(self, now: int) -> bool:
-        if self._is_store_lost:
-            return True
         back_at = self._store_back_at
         return back_at is not None and now - back_at < RETURN_GRACE_MS
 
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -59,7 +59,6 @@
     def take_reading(self, reading, now: int) -> None:
         """Takes a reading of the store."""
         before = self._marks()
-        self.registry.note_store_back(now)
         if reading.routes is not None:
             self._offer_routes(reading.routes, "store")
         self._offer_evacuated(reading.evacuated, reading.revision, "store")
--- a/citrondoor/entry/_view_keeper.py
+++ b/citrondoor/entry/_view_keeper.py
@@ -17,6 +17,9 @@
 # After a failed reading the next one follows sooner than an ordinary one.
 RETRY_MS = 400
 CHECK_MS = 100
+# Entries lapse after three heartbeats of silence, 3.6 s on today's platform: a
+# store that nobody reached for less than this has lost none.
+LAPSE_MS = 2000
 
 
 class ViewKeeper:
@@ -97,14 +100,15 @@
         if self._is_lost:
             self._is_lost = False
             self._log.write("store_regained", revision=reading.revision)
+        if self._fleet.store_age_ms(now) > LAPSE_MS:
+            # Nobody reached it: searchers did not either, perhaps.
+            self._view.registry.note_store_away(now)
         self._fleet.note_store_read(now)
         self._view.take_reading(reading, now)
         return True
 
     def _on_failure(self, error: errors.PlatformError) -> None:
         self.failures += 1
-        # Peers may reach it: entries are believed gone only from a listing.
-        self._view.registry.note_store_lost()
         if not self._is_lost:
             self._is_lost = True
             self._log.write(
