Send nothing on once a request is over

Change: ends of sends of a request that is over change nothing. Extra sends are counted where they are spent.

--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -95,6 +95,7 @@
 
     def _counters(self, keeper: entry.ViewKeeper):
         counts = self._dispatcher.counters
+        budgets = self._dispatcher.budgets
         pool = self._pool.counters
         yield "requests", "Requests of callers.", lambda: counts.requests
         yield "answers", "Requests answered.", lambda: counts.answers
@@ -103,7 +104,8 @@
         yield "failures", "Failed, may have run.", lambda: counts.failures
         yield "withdrawn", "Callers that left.", lambda: counts.withdrawn
         yield "sends", "Sends to searchers.", lambda: counts.sends
-        yield "extra_sends", "Hedges and retries.", lambda: counts.extra_sends
+        yield "extra_sends", "Hedges and retries.", lambda: budgets.spent
+        yield "extra_denied", "Over the budget.", lambda: budgets.denied
         yield "connects", "Connections opened.", lambda: pool.connects
         yield "dial_failures", "Not opened.", lambda: pool.dial_failures
         yield "broken", "Broken exchanges.", lambda: pool.broken
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -40,9 +40,9 @@
     """A request that is being served."""
 
     __slots__ = (
-        "extra_sends",
         "failure",
         "fanout",
+        "is_over",
         "outbound",
         "replies",
         "route",
@@ -64,7 +64,8 @@
         self.replies: dict[str, links.Reply] = {}
         # The last failure that a searcher answered with.
         self.failure: links.Reply | None = None
-        self.extra_sends = -1
+        # Ends of further sends change nothing any more.
+        self.is_over = False
         self.wakes_at = 0.0
         self.woken: asyncio.Future | None = None
 
@@ -74,7 +75,6 @@
 
     __slots__ = (
         "answers",
-        "extra_sends",
         "failures",
         "partials",
         "refusals",
@@ -91,7 +91,6 @@
         self.failures = 0
         self.withdrawn = 0
         self.sends = 0
-        self.extra_sends = 0
 
 
 class Dispatcher:
@@ -145,6 +144,11 @@
         self.counters = DispatchCounters()
         self.in_flight = 0
 
+    @property
+    def budgets(self) -> fanout.ExtraBudgets:
+        """Bound of extra sends, with what was spent and denied."""
+        return self._budgets
+
     def set_pool(self, pool: links.HttpPool) -> None:
         """Takes the connections that requests are sent on."""
         self._pool = pool
@@ -215,6 +219,7 @@
         groups = routes.choose_groups(route.target, self._source)
         running = self._start(request, route, groups)
         verdict = await self._run(running, left)
+        running.is_over = True
         for send in running.fanout.pending():
             self._pool.abandon(send.token)
         if verdict is None:
@@ -321,6 +326,8 @@
         self._pool.release(token)
         send, running = self._sends.pop(token)
         self._observe(send, running, reply, now)
+        if running.is_over:
+            return
         if reply.kind == links.ReplyKind.ANSWERED:
             running.replies.setdefault(send.group, reply)
         elif reply.kind == links.ReplyKind.FAILED:
--- a/citrondoor/fanout/_budget.py
+++ b/citrondoor/fanout/_budget.py
@@ -59,7 +59,14 @@
       members: Daemons that share the slack, at the start.
     """
 
-    __slots__ = ("_members", "_settings", "_slice_ms", "_windows", "denied")
+    __slots__ = (
+        "_members",
+        "_settings",
+        "_slice_ms",
+        "_windows",
+        "denied",
+        "spent",
+    )
 
     def __init__(self, settings: serving.BoundSettings, members: int):
         self._settings = settings
@@ -69,6 +76,7 @@
         )
         self._windows: dict[str, _Window] = {}
         self.denied = 0
+        self.spent = 0
 
     def set_members(self, members: int) -> None:
         """Takes the number of daemons that share the slack."""
@@ -94,6 +102,7 @@
             self.denied += 1
             return False
         window = self._windows[backend]
+        self.spent += 1
         window.extras[-1] += 1
         window.total_extras += 1
         return True
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -179,6 +179,48 @@
     assert len(rig.pool.abandoned) == len(rig.pool.sent)
 
 
+def test_nothing_is_sent_on_after_a_caller_has_left():
+    # Found by a hunt: hvk-search hunt-7aa6-3, GONE. What was pending ended
+    # after its grace and was sent once more.
+    class SlowPool(FakePool):
+        def submit(self, upstream, exchange):
+            self.sent.append((upstream, exchange))
+
+        def abandon(self, token):
+            for _, exchange in self.sent:
+                if exchange.token == token:
+                    exchange.deliver(token, links.Reply(KIND.BROKEN))
+
+    rig = Rig(None, [GATHER], COPIES)
+    rig.pool = SlowPool(None)
+    rig.dispatcher.set_pool(rig.pool)
+    assert rig.serve(request(), leave_after_s=0.005) is None
+    assert len(rig.pool.sent) == len(SHARDS)
+
+
+def test_nothing_is_sent_on_after_the_answer():
+    late = []
+
+    class SlowPool(FakePool):
+        def submit(self, upstream, exchange):
+            self.sent.append(upstream)
+            if upstream.backend == "s0":
+                late.append(exchange)
+            else:
+                exchange.deliver(exchange.token, answered(upstream))
+
+        def abandon(self, token):
+            for exchange in late:
+                if exchange.token == token:
+                    exchange.deliver(token, links.Reply(KIND.BROKEN))
+
+    rig = Rig(None, [GATHER], [u for u in COPIES if u.id != "s0-1"])
+    rig.pool = SlowPool(None)
+    rig.dispatcher.set_pool(rig.pool)
+    assert rig.serve(request()).missing == 1
+    assert len(rig.pool.sent) == len(SHARDS)
+
+
 def test_a_final_answer_comes_at_the_routes_timeout():
     def respond(upstream, outbound):
         return 0, None
