--- a/citrondoor/daemon/_entry.py
+++ b/citrondoor/daemon/_entry.py
@@ -20,8 +20,8 @@
 # while and must still find this one; then requests that were read are ended.
 SERVE_SHARE = 0.6
 FINISH_SHARE = 0.95
-# Time for heartbeats of peers before callers are sent here, in ms.
-SETTLE_MS = 300
+# A daemon that starts looks this often whether its view is complete, in ms.
+JOIN_POLL_MS = 10
 
 
 class Adapter(typing.Protocol):
@@ -192,8 +192,7 @@
 
     async def _join(self) -> None:
         while not self._view.is_complete and not self._stopping.is_set():
-            await asyncio.sleep(TICK_MS / clocks.MS_PER_S)
-        await asyncio.sleep(SETTLE_MS / clocks.MS_PER_S)
+            await asyncio.sleep(JOIN_POLL_MS / clocks.MS_PER_S)
         if self._stopping.is_set():
             return
         self._lifecycle.serve()
--- a/citrondoor/links/_platform.py
+++ b/citrondoor/links/_platform.py
@@ -88,8 +88,7 @@
             raise self._unusable(f"a VM list without {error}") from error
 
     async def close(self) -> None:
-        """Closes the connections."""
-        await self._client.close()
+        """Ends nothing: each connection ends with its answer."""
 
     async def _get(self, path: str, extra_ms: int) -> dict:
         return await self._client.get(path, extra_ms)
--- a/citrondoor/platform/_store.py
+++ b/citrondoor/platform/_store.py
@@ -86,10 +86,6 @@
         reading.routes = self._routes[1]
         return reading
 
-    async def close(self) -> None:
-        """Closes the connections."""
-        await self._client.close()
-
     def _take(self, item: dict, reading: entry.StoreReading) -> None:
         key = item["key"]
         if key.startswith(_SEARCHER_PREFIX):
--- a/citrondoor/routing/_observations.py
+++ b/citrondoor/routing/_observations.py
@@ -1,6 +1,6 @@
 """What this daemon has seen of searchers itself."""
 
-import math
+import bisect
 
 # Weight of a new latency in the moving average.
 EWMA_WEIGHT = 0.2
@@ -13,16 +13,10 @@
 _BUCKET_BASE_MS = 0.25
 _BUCKET_GROWTH = 1.15
 _BUCKET_COUNT = 80
-_LONGEST_MS = 16_384
-
-
-def _bucket_of(latency_ms: int) -> int:
-    ratio = max(1.0, latency_ms / _BUCKET_BASE_MS)
-    return min(_BUCKET_COUNT - 1, int(math.log(ratio, _BUCKET_GROWTH)))
-
-
-# Latencies are whole milliseconds: a table is faster than a logarithm.
-_BUCKET_OF_MS = [_bucket_of(ms) for ms in range(_LONGEST_MS)]
+# Lower bounds of all buckets but the first.
+_BUCKET_BOUNDS_MS = [
+    _BUCKET_BASE_MS * _BUCKET_GROWTH**index for index in range(1, _BUCKET_COUNT)
+]
 # Old samples lose half of their weight after this many new ones.
 _HALVE_AFTER = 4000
 MIN_SAMPLES = 50
@@ -55,10 +49,8 @@
     def observe(self, latency_ms: float) -> None:
         """Adds one latency."""
         self._quantiles.clear()
-        if latency_ms >= len(_BUCKET_OF_MS):
-            self._buckets[_BUCKET_COUNT - 1] += 1
-        else:
-            self._buckets[_BUCKET_OF_MS[int(latency_ms)]] += 1
+        bucket = bisect.bisect_right(_BUCKET_BOUNDS_MS, latency_ms)
+        self._buckets[bucket] += 1
         self._count += 1
         self._since_halved += 1
         if self._since_halved % MIN_SAMPLES == 0:
