--- a/citrondoor/daemon/_entry.py
+++ b/citrondoor/daemon/_entry.py
@@ -16,6 +16,8 @@
 from citrondoor.schema import serving
 
 TICK_MS = 100
+# Time between lines of the log that tell the counters, in seconds.
+SUMMARY_S = 5.0
 # Parts of the grace of a shutdown. Callers keep an old list of entries for a
 # while and must still find this one; then requests that were read are ended.
 SERVE_SHARE = 0.6
@@ -185,6 +187,7 @@
         )
         self._fleet.set_place(self._place(is_ready=False))
         self._start_task(self._tick_forever())
+        self._start_task(self._summarize_forever())
         await self._join()
         self._start_task(self._metrics.start(self._keeper, self._fleet))
         await self._stopping.wait()
@@ -208,6 +211,18 @@
             self._pool.sweep(now)
             await asyncio.sleep(TICK_MS / clocks.MS_PER_S)
 
+    async def _summarize_forever(self) -> None:
+        while True:
+            await asyncio.sleep(SUMMARY_S)
+            self._log.write(
+                "summary",
+                members=self._fleet.live(),
+                store_age_ms=self._fleet.store_age_ms(self._clock.now()),
+                version=self._view.routes.version,
+                upstream_revision=self._view.registry.revision,
+                **self._metrics.summary(),
+            )
+
     async def _leave(self) -> None:
         """Leaves the directory first, then the callers, then the peers."""
         grace_s = self._settings.bounds.grace_s
--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -73,6 +73,26 @@
         self._metrics = metrics
         await self._server.start(*addresses.split_address(settings.metrics))
 
+    def summary(self) -> dict[str, int]:
+        """Returns the counters that a line of the log tells now and then."""
+        counts = self._dispatcher.counters
+        budgets = self._dispatcher.budgets
+        return {
+            "requests": counts.requests,
+            "partials": counts.partials,
+            "refusals": counts.refusals,
+            "failures": counts.failures,
+            "withdrawn": counts.withdrawn,
+            "sends": counts.sends,
+            "remote_sends": counts.remote_sends,
+            "extra_sends": budgets.spent,
+            "extra_denied": budgets.denied,
+            "connects": self._pool.counters.connects,
+            "aborts": self._pool.counters.aborts,
+            "connections": self._pool.open_count,
+            "log_dropped": self._log.dropped,
+        }
+
     def record_answer(self, status: int, latency_ms: int) -> None:
         """Adds the latency of an answer."""
         if self._metrics is not None:
@@ -104,6 +124,7 @@
         yield "failures", "Failed, may have run.", lambda: counts.failures
         yield "withdrawn", "Callers that left.", lambda: counts.withdrawn
         yield "sends", "Sends to searchers.", lambda: counts.sends
+        yield "remote_sends", "To other zones.", lambda: counts.remote_sends
         yield "extra_sends", "Hedges and retries.", lambda: budgets.spent
         yield "extra_denied", "Over the budget.", lambda: budgets.denied
         yield "connects", "Connections opened.", lambda: pool.connects
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -78,6 +78,7 @@
         "failures",
         "partials",
         "refusals",
+        "remote_sends",
         "requests",
         "sends",
         "withdrawn",
@@ -91,6 +92,7 @@
         self.failures = 0
         self.withdrawn = 0
         self.sends = 0
+        self.remote_sends = 0
 
 
 class Dispatcher:
@@ -117,6 +119,7 @@
         "_sends",
         "_source",
         "_view",
+        "_zone",
         "counters",
         "in_flight",
     )
@@ -131,6 +134,7 @@
         log: _recording.DecisionLog,
     ):
         self._view = view
+        self._zone = settings.zone
         self._clock = clock
         self._source = source
         self._log = log
@@ -309,6 +313,8 @@
         for send in sends:
             self._sends[send.token] = (send, running)
             self.counters.sends += 1
+            if send.replica.upstream.zone != self._zone:
+                self.counters.remote_sends += 1
             exchange = links.Exchange(
                 send.token, running.outbound, self._on_reply
             )
