--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -19,7 +19,7 @@
 
 # Part of the latency target that a searcher of the own zone may take longer
 # before one of another zone is preferred.
-REMOTE_COST_SHARE = 0.12
+REMOTE_COST_SHARE = 0.2
 LEAST_REMOTE_COST_MS = 2.0
 # An answer needs this long to reach the caller.
 ANSWER_MS = 6
@@ -139,7 +139,7 @@
         self._source = source
         self._log = log
         self._pool: links.HttpPool | None = None
-        self._replicas = fanout.Replicas(settings.zone, members, source)
+        self._replicas = fanout.Replicas(settings.zone, source)
         self._budgets = fanout.ExtraBudgets(settings.bounds, members)
         self._cold = fanout.ColdShares(settings.bounds, settings.vm)
         self._latencies = fanout.RouteLatencies()
@@ -164,7 +164,6 @@
           names: Daemons that are alive.
           members: How many share bounds; those that may still send count.
         """
-        self._replicas.set_members(members)
         self._budgets.set_members(members)
         self._cold.set_members(names)
 
--- a/citrondoor/fanout/_replicas.py
+++ b/citrondoor/fanout/_replicas.py
@@ -21,7 +21,7 @@
 # A late searcher is taken to stand still for about this long.
 SUSPECT_COST_MS = 150
 # Load of one more request, where the searcher has one slot for it.
-LOAD_FACTOR = 0.5
+LOAD_FACTOR = 1.0
 # A searcher that cannot be reached is tried again after this time, doubling.
 FIRST_BLOCK_MS = 100
 MAX_BLOCK_MS = 1000
@@ -112,16 +112,18 @@
         """Returns whether it holds a request for longer than usual."""
         return any(late_at <= now for _, late_at in self._in_flight.values())
 
-    def cost_ms(self, usual_ms: float, members: int, now: int) -> float:
+    def cost_ms(self, usual_ms: float, now: int) -> float:
         """Returns the expected time of one more request.
 
+        The load of other daemons shows in the latencies, not in the requests
+        that this one has there.
+
         Args:
           usual_ms: Usual latency on the route.
-          members: Daemons that send to it about as much as this one.
           now: Clock reading.
         """
         self._age(now)
-        load = len(self._in_flight) * members / max(1, self.upstream.capacity)
+        load = len(self._in_flight) / max(1, self.upstream.capacity)
         cost = usual_ms * self._ratio * (1.0 + LOAD_FACTOR * load)
         failure_ms = FAILURE_COST_FACTOR * usual_ms + FAILURE_COST_MS
         cost += self._failing * failure_ms
@@ -144,22 +146,16 @@
 
     Args:
       zone: Availability zone of this daemon.
-      members: Daemons that send, at the start.
       source: Random source.
     """
 
-    __slots__ = ("_members", "_replicas", "_source", "_zone")
+    __slots__ = ("_replicas", "_source", "_zone")
 
-    def __init__(self, zone: str, members: int, source: random.Random):
+    def __init__(self, zone: str, source: random.Random):
         self._zone = zone
-        self._members = members
         self._source = source
         self._replicas: dict[str, Replica] = {}
 
-    def set_members(self, members: int) -> None:
-        """Takes the number of daemons that send."""
-        self._members = max(1, members)
-
     def get(self, upstream: serving.Upstream) -> Replica:
         """Returns what was seen of a searcher; a new start knows nothing."""
         found = self._replicas.get(upstream.id)
@@ -205,7 +201,7 @@
             replica = self.get(upstream)
             if replica.blocked_until > now:
                 continue
-            cost = replica.cost_ms(usual_ms, self._members, now)
+            cost = replica.cost_ms(usual_ms, now)
             if upstream.zone != self._zone:
                 cost += remote_cost_ms
             # Daemons must not agree on one of equals: break ties at random.
