--- /dev/null
+++ b/tests/fanout/test_overload.py
@@ -0,0 +1,191 @@
+"""Plays load on slow shards and checks what callers get, without a network."""
+
+import heapq
+import itertools
+import random
+
+from citrondoor import fanout
+from citrondoor.schema import serving
+from tests import serving_samples as samples
+
+SHARDS = 20
+COPIES = 2
+SLOTS = 3
+DAEMONS = 5
+WORK_MS = 42
+TARGET_MS = 240
+GIVE_UP_MS = 1200
+REQUESTS_PER_S = 45
+GRACE_MS = 300
+PAUSE_EVERY_MS = 6000
+SLACK = 54
+
+
+class Searcher:
+    """Serves requests in the order of their arrival, on a few slots."""
+
+    def __init__(self, slow, pause_ms, first_pause_at):
+        self.slow = slow
+        self.pause_ms = pause_ms
+        self.first_pause_at = first_pause_at
+        self.free_at = [0.0] * SLOTS
+
+    def delayed(self, at):
+        """Returns when it goes on, at a moment that may lie in a pause."""
+        into = (at - self.first_pause_at) % PAUSE_EVERY_MS
+        return at + max(0.0, self.pause_ms - into)
+
+    def finish_at(self, now, source):
+        start = self.delayed(max(now, heapq.heappop(self.free_at)))
+        spread = source.lognormvariate(0, 0.35)
+        end = self.delayed(start + WORK_MS * spread * self.slow)
+        # Work that its daemon withdraws ends then.
+        end = min(end, max(start, now + TARGET_MS + GRACE_MS))
+        heapq.heappush(self.free_at, end)
+        return end
+
+
+class Play:
+    """Daemons, searchers and callers over some seconds of simulated time."""
+
+    def __init__(self, slow_shards, slow, seed, pause_ms=0, hedge_after_ms=60):
+        self.source = random.Random(seed)
+        self.hedge_after_ms = hedge_after_ms
+        self.numbers = itertools.count(1)
+        self.found = {
+            f"s{shard}": [
+                samples.upstream(
+                    f"s{shard}-{copy}", f"s{shard}", capacity=SLOTS
+                )
+                for copy in range(COPIES)
+            ]
+            for shard in range(SHARDS)
+        }
+        self.searchers = {
+            u.id: Searcher(
+                slow if int(group[1:]) < slow_shards else 1.0,
+                pause_ms,
+                self.source.uniform(0, PAUSE_EVERY_MS),
+            )
+            for group, found in self.found.items()
+            for u in found
+        }
+        self.replicas = [
+            fanout.Replicas("a", random.Random(seed + n))
+            for n in range(DAEMONS)
+        ]
+        bounds = serving.BoundSettings(extra_slack=SLACK)
+        self.budgets = [
+            fanout.ExtraBudgets(bounds, DAEMONS) for _ in range(DAEMONS)
+        ]
+        self.events: list[tuple] = []
+        self.shares: list[float] = []
+        self.sends = 0
+
+    def run(self, seconds):
+        now = 0.0
+        while now < seconds * 1000:
+            now += self.source.expovariate(REQUESTS_PER_S / 1000)
+            self.push(now, "ask", None)
+        while self.events:
+            now, _, kind, what = heapq.heappop(self.events)
+            getattr(self, f"on_{kind}")(int(now), what)
+        return self
+
+    def push(self, at, kind, what):
+        heapq.heappush(self.events, (at, next(self.numbers), kind, what))
+
+    def on_ask(self, now, _):
+        daemon = self.source.randrange(DAEMONS)
+        plan = fanout.Plan(
+            18,
+            2,
+            True,
+            now + TARGET_MS,
+            now + GIVE_UP_MS,
+            self.hedge_after_ms,
+            float(WORK_MS),
+            40.0,
+        )
+        query = fanout.Fanout(
+            tuple(self.found),
+            plan,
+            lambda group: self.found[group],
+            self.replicas[daemon],
+            self.budgets[daemon],
+            lambda upstream, at: True,
+            self.numbers,
+        )
+        state = [query, now, False]
+        self.submit(state, query.start(now), now)
+        self.check(state, now)
+
+    def submit(self, state, sends, now):
+        for send in sends:
+            self.sends += 1
+            searcher = self.searchers[send.replica.upstream.id]
+            end = searcher.finish_at(now, self.source)
+            self.push(end, "answer", (state, send))
+
+    def on_answer(self, now, what):
+        state, send = what
+        send.replica.end_answered(send.token, float(WORK_MS), now)
+        if not state[2]:
+            state[0].on_ended(send.token, fanout.Outcome.ANSWERED, now)
+            self.check(state, now)
+
+    def on_wake(self, now, state):
+        if not state[2]:
+            self.submit(state, state[0].on_time(now), now)
+            self.check(state, now)
+
+    def check(self, state, now):
+        query, asked_at, _ = state
+        verdict = query.verdict(now)
+        if verdict == fanout.Verdict.PENDING:
+            self.push(max(now + 1, query.next_at()), "wake", state)
+            return
+        state[2] = True
+        is_served = verdict in (
+            fanout.Verdict.COMPLETE,
+            fanout.Verdict.PARTIAL,
+        )
+        share = query.answered / SHARDS
+        in_time = now - asked_at <= TARGET_MS
+        worth = share**2 * (1.0 if in_time else 0.1)
+        self.shares.append(worth if is_served else 0.0)
+
+    @property
+    def worth(self):
+        """Mean worth of an answer, at most 1."""
+        return sum(self.shares) / len(self.shares)
+
+
+def test_pauses_cost_a_hedge_and_hardly_an_answer():
+    # Each searcher stands still for 250 ms each 6 s, at its own time: of 20
+    # shards one is paused more often than not.
+    hedged = Play(0, 1.0, 1, pause_ms=250).run(8)
+    unhedged = Play(0, 1.0, 1, pause_ms=250, hedge_after_ms=1e6).run(8)
+    assert hedged.worth > 0.97
+    assert unhedged.worth < hedged.worth - 0.05
+    # Each shard may get a fifth of its requests and the slack on top.
+    assert hedged.sends <= SHARDS * (1.2 * len(hedged.shares) + SLACK)
+
+
+def test_slow_shards_leave_the_others_unharmed():
+    # Both searchers of two shards are slow; two may be missing.
+    assert min(Play(2, 12.0, seed).run(8).worth for seed in range(3)) > 0.8
+
+
+def test_one_slow_searcher_of_a_shard_costs_hardly_an_answer():
+    # A third of all searchers, never two of one shard.
+    play = Play(0, 1.0, 1)
+    for number, (upstream_id, searcher) in enumerate(play.searchers.items()):
+        if upstream_id.endswith("-0") and number % 3 == 0:
+            searcher.slow = 8.0
+    assert play.run(8).worth > 0.95
+
+
+def test_more_slow_shards_than_may_be_missing_are_waited_for():
+    # Callers are better served late than not at all.
+    assert Play(4, 6.0, 1).run(4).worth > 0.05
