Send to other zones through a peer there, and merge on the way back

Cause: bytes between zones were the largest price after machines: 20 or 30 heads and bodies of each query crossed, two thirds of all sends. Change: the first sends of a query to searchers of one other zone go in one message to a daemon there, which sends them and returns stamps and the records that can still be among the greatest. Decisions stay with the daemon that was asked; hedges and retries go directly. A missing reply, a lost link or a silent peer ends the sends as broken. Ways weighed: delegating a part of the query with its decisions (attempts and budgets would be split over two daemons).

--- a/citrondoor/daemon/_entry.py
+++ b/citrondoor/daemon/_entry.py
@@ -69,6 +69,7 @@
         "_metrics",
         "_pool",
         "_readiness",
+        "_relay",
         "_reload",
         "_settings",
         "_source",
@@ -135,11 +136,20 @@
             self._dispatcher.on_unreachable,
         )
         self._dispatcher.set_pool(self._pool)
+        self._relay = entry.Relay(
+            self._fleet, self._view, self._clock, self._source
+        )
+        self._relay.set_pool(self._pool)
+        self._dispatcher.set_relay(self._relay)
         self._view.subscribe(self._on_view_changed)
 
     def _build_servers(self) -> None:
         self._metrics = _entry_metrics.EntryMetrics(
-            self._settings, self._dispatcher, self._pool, self._log
+            self._settings,
+            self._dispatcher,
+            self._pool,
+            self._relay,
+            self._log,
         )
         self._front = links.HttpServer(
             self._adapter.make_callers(
@@ -209,6 +219,7 @@
             self._dispatcher.set_members(self._fleet.live(), members)
             self._pool.set_members(members)
             self._pool.sweep(now)
+            self._relay.sweep(now)
             await asyncio.sleep(TICK_MS / clocks.MS_PER_S)
 
     async def _summarize_forever(self) -> None:
--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -23,6 +23,7 @@
       settings: Settings of the daemon.
       dispatcher: Counts requests.
       pool: Counts connections.
+      relay: Counts sends through peers.
       log: Counts lines.
     """
 
@@ -31,6 +32,7 @@
         "_log",
         "_metrics",
         "_pool",
+        "_relay",
         "_server",
         "_settings",
     )
@@ -40,11 +42,13 @@
         settings: serving.EntrySettings,
         dispatcher: entry.Dispatcher,
         pool: links.HttpPool,
+        relay: entry.Relay,
         log: entry.DecisionLog,
     ):
         self._settings = settings
         self._dispatcher = dispatcher
         self._pool = pool
+        self._relay = relay
         self._log = log
         self._metrics = None
         self._server = links.HttpServer(self)
@@ -85,6 +89,9 @@
             "withdrawn": counts.withdrawn,
             "sends": counts.sends,
             "remote_sends": counts.remote_sends,
+            "relayed_sends": self._relay.counters.asked,
+            "relay_served": self._relay.counters.served,
+            "relay_lost": self._relay.counters.lost,
             "extra_sends": budgets.spent,
             "extra_denied": budgets.denied,
             "connects": self._pool.counters.connects,
@@ -125,6 +132,10 @@
         yield "withdrawn", "Callers that left.", lambda: counts.withdrawn
         yield "sends", "Sends to searchers.", lambda: counts.sends
         yield "remote_sends", "To other zones.", lambda: counts.remote_sends
+        relay = self._relay.counters
+        yield "relayed_sends", "Through peers.", lambda: relay.asked
+        yield "relay_served", "For peers.", lambda: relay.served
+        yield "relay_lost", "With a lost peer.", lambda: relay.lost
         yield "extra_sends", "Hedges and retries.", lambda: budgets.spent
         yield "extra_denied", "Over the budget.", lambda: budgets.denied
         yield "connects", "Connections opened.", lambda: pool.connects
--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -69,6 +69,13 @@
             self._by_backend = self._index()
         return self._by_backend.get(backend, [])
 
+    def find(self, upstream_id: str) -> serving.Upstream | None:
+        """Returns a searcher if it may receive new work."""
+        record = self._records.get(upstream_id)
+        if record is None or not self._is_usable(record.upstream):
+            return None
+        return record.upstream
+
     def all_usable(self) -> list[serving.Upstream]:
         """Returns all searchers that may receive new work."""
         if self._by_backend is None:
@@ -217,13 +224,18 @@
     def _index(self) -> dict[str, list[serving.Upstream]]:
         index: dict[str, list[serving.Upstream]] = {}
         for record in self._records.values():
-            upstream = record.upstream
-            if upstream is None or upstream.zone in self._evacuated:
-                continue
-            if upstream.state == serving.UpstreamState.READY:
+            if self._is_usable(record.upstream):
+                upstream = record.upstream
                 index.setdefault(upstream.backend, []).append(upstream)
         return index
 
+    def _is_usable(self, upstream: serving.Upstream | None) -> bool:
+        return (
+            upstream is not None
+            and upstream.zone not in self._evacuated
+            and upstream.state == serving.UpstreamState.READY
+        )
+
 
 def _same(one: serving.Upstream, other: serving.Upstream) -> bool:
     return (
--- a/citrondoor/entry/__init__.py
+++ b/citrondoor/entry/__init__.py
@@ -11,6 +11,7 @@
 from citrondoor.entry._messages import Relayed
 from citrondoor.entry._messages import StoreReading
 from citrondoor.entry._recording import DecisionLog
+from citrondoor.entry._relay import Relay
 from citrondoor.entry._view import LocalView
 from citrondoor.entry._view_keeper import ViewKeeper
 
@@ -22,6 +23,7 @@
     "Fleet",
     "Gathered",
     "LocalView",
+    "Relay",
     "Relayed",
     "StoreReading",
     "ViewKeeper",
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -13,6 +13,7 @@
 from citrondoor import routes
 from citrondoor.entry import _messages
 from citrondoor.entry import _recording
+from citrondoor.entry import _relay
 from citrondoor.entry import _view
 from citrondoor.schema import messages
 from citrondoor.schema import serving
@@ -115,6 +116,7 @@
         "_log",
         "_numbers",
         "_pool",
+        "_relay",
         "_replicas",
         "_sends",
         "_source",
@@ -139,6 +141,7 @@
         self._source = source
         self._log = log
         self._pool: links.HttpPool | None = None
+        self._relay: _relay.Relay | None = None
         self._replicas = fanout.Replicas(settings.zone, source)
         self._budgets = fanout.ExtraBudgets(settings.bounds, members)
         self._cold = fanout.ColdShares(settings.bounds, settings.vm)
@@ -157,6 +160,10 @@
         """Takes the connections that requests are sent on."""
         self._pool = pool
 
+    def set_relay(self, relay: _relay.Relay) -> None:
+        """Takes the way to searchers of other zones."""
+        self._relay = relay
+
     def set_members(self, names: list[str], members: int) -> None:
         """Takes the daemons that share bounds.
 
@@ -223,8 +230,7 @@
         running = self._start(request, route, groups)
         verdict = await self._run(running, left)
         running.is_over = True
-        for send in running.fanout.pending():
-            self._pool.abandon(send.token)
+        self._withdraw([send.token for send in running.fanout.pending()])
         if verdict is None:
             return None
         answer = compose(route.target, running, verdict)
@@ -287,7 +293,7 @@
     ) -> fanout.Verdict | None:
         """Sends until there is a verdict; None when the caller has left."""
         state = running.fanout
-        self._submit(running, state.start(self._clock.now()))
+        self._submit_first(running, state.start(self._clock.now()))
         loop = asyncio.get_running_loop()
         while True:
             now = self._clock.now()
@@ -308,6 +314,37 @@
                 return None
             self._submit(running, state.on_time(self._clock.now()))
 
+    def _withdraw(self, tokens: list[int]) -> None:
+        if self._relay is not None:
+            tokens = self._relay.cancel(tokens)
+        for token in tokens:
+            self._pool.abandon(token)
+
+    def _submit_first(
+        self, running: _Running, sends: list[fanout.Send]
+    ) -> None:
+        """Sends to each zone, through a peer there where that is shorter."""
+        top = _relayed_records(running.route.target)
+        if self._relay is None or top is None or running.route.route.regions:
+            self._submit(running, sends)
+            return
+        by_zone: dict[str, list[fanout.Send]] = {}
+        for send in sends:
+            by_zone.setdefault(send.replica.upstream.zone, []).append(send)
+        for zone, zone_sends in by_zone.items():
+            if zone == self._zone:
+                self._submit(running, zone_sends)
+                continue
+            # A peer may end a send before the call returns.
+            for send in zone_sends:
+                self._sends[send.token] = (send, running)
+            if self._relay.submit(
+                zone, running.outbound, top, zone_sends, self._on_peer_reply
+            ):
+                self.counters.sends += len(zone_sends)
+            else:
+                self._submit(running, zone_sends)
+
     def _submit(self, running: _Running, sends: list[fanout.Send]) -> None:
         for send in sends:
             self._sends[send.token] = (send, running)
@@ -319,6 +356,16 @@
             )
             self._pool.submit(send.replica.upstream, exchange)
 
+    def _on_peer_reply(self, token: int, reply: links.Reply) -> None:
+        send, running = self._sends[token]
+        if reply.kind == links.ReplyKind.ANSWERED and not running.is_over:
+            # The peer has left out records of other shards that are smaller
+            # than this one's: it must be in the answer, also when a sibling
+            # was first. Hedges never go through peers, so no reply of a peer
+            # is ever replaced.
+            running.replies[send.group] = reply
+        self._on_reply(token, reply)
+
     def _may_send(self, upstream: serving.Upstream, now: int) -> bool:
         if self._view.registry.cold_until(upstream.id) <= now:
             return True
@@ -437,6 +484,17 @@
     return max(1, math.ceil(target.least_share * len(target.shards) - 1e-9))
 
 
+@functools.singledispatch
+def _relayed_records(target) -> int | None:
+    """Returns how many records matter, or None if no peer may send."""
+    return None
+
+
+@_relayed_records.register
+def _(target: routes.Scatter) -> int | None:
+    return target.top
+
+
 @functools.singledispatch
 def compose(
     target, running: _Running, verdict: fanout.Verdict
--- a/citrondoor/entry/_fleet.py
+++ b/citrondoor/entry/_fleet.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import functools
+from collections.abc import Callable
 
 from citrondoor import addresses
 from citrondoor import clock as clocks
@@ -49,9 +51,11 @@
         "_clock",
         "_is_heard",
         "_link_settings",
+        "_link_listeners",
         "_links",
         "_log",
         "_members",
+        "_notes",
         "_own_address",
         "_seen_alive",
         "_server",
@@ -93,8 +97,10 @@
         self._links: dict[str, links.PeerLink] = {}
         self._tasks: dict[str, asyncio.Task] = {}
         self._server = links.PeerServer(
-            self._link_settings, self._answer, self._on_garbage
+            self._link_settings, self._answer, self._on_garbage, self._on_note
         )
+        self._notes = functools.singledispatch(self._ignore_note)
+        self._link_listeners: list[Callable[[str], None]] = []
         self._store_read_at: int | None = None
         self._started_at = clock.now()
         self._seen_alive: dict[str, int] = {}
@@ -148,6 +154,30 @@
                 found.append(member.place)
         return found
 
+    def reachable_in(self, zone: str) -> list[str]:
+        """Returns peers of an availability zone that take work."""
+        return [
+            name
+            for name, link in self._links.items()
+            if link.is_up
+            and self._members.state_of(name) == messages.MemberState.ALIVE
+            and self._members.place_of(name).zone == zone
+            and self._members.place_of(name).is_ready
+        ]
+
+    def tell(self, name: str, message) -> bool:
+        """Sends a note to a peer; returns whether its link is up."""
+        link = self._links.get(name)
+        return link is not None and link.tell(bodies.wrap(message))
+
+    def take_notes(self, kind: type, handler) -> None:
+        """Gives notes of one kind to a function of message and sender."""
+        self._notes.register(kind, handler)
+
+    def watch_links(self, on_down: Callable[[str], None]) -> None:
+        """Calls `on_down` with the name of each peer whose link is lost."""
+        self._link_listeners.append(on_down)
+
     def set_place(self, place: serving.EntryPlace) -> None:
         """Tells the others where this daemon is reached, at once."""
         self._members.set_place(place)
@@ -304,6 +334,17 @@
 
     def _record(self, kind: str, detail: str) -> None:
         self._log.write(kind, detail=detail)
+        if kind == "link_down":
+            for listener in self._link_listeners:
+                listener(detail)
+
+    def _on_note(self, sender: str, body: messages.Body) -> None:
+        self._notes(bodies.unwrap(body), sender)
+
+    def _ignore_note(self, message, sender: str) -> None:
+        self._log.write(
+            "note_ignored", kind=type(message).__name__, sender=sender
+        )
 
     def _on_garbage(self) -> None:
         self.garbage_count += 1
--- a/citrondoor/fanout/__init__.py
+++ b/citrondoor/fanout/__init__.py
@@ -9,6 +9,7 @@
 from citrondoor.fanout._fanout import Verdict
 from citrondoor.fanout._latency import RouteLatencies
 from citrondoor.fanout._merge import greatest_records
+from citrondoor.fanout._pruning import Pruner
 from citrondoor.fanout._replicas import Replica
 from citrondoor.fanout._replicas import Replicas
 
@@ -18,6 +19,7 @@
     "Fanout",
     "Outcome",
     "Plan",
+    "Pruner",
     "Replica",
     "Replicas",
     "RouteLatencies",
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -273,6 +273,13 @@
             )
         return reply
 
+    def tell(self, body: messages.Body) -> bool:
+        """Sends a note, which has no reply; returns whether the link is up."""
+        if self._channel is None:
+            return False
+        self._channel.send(messages.Envelope(0, 0, body))
+        return True
+
     async def _run(self) -> None:
         pause_ms = REDIAL_PAUSE_MS
         while True:
@@ -338,11 +345,13 @@
       settings: What every link needs.
       handler: Returns the reply to a question of a peer.
       on_garbage: Called once for each connection that broke the protocol.
+      on_note: Takes the notes of peers, with the sender's name.
     """
 
     __slots__ = (
         "_handler",
         "_on_garbage",
+        "_on_note",
         "_server",
         "_settings",
         "_tasks",
@@ -355,10 +364,12 @@
         settings: PeerSettings,
         handler: Handler,
         on_garbage: Callable[[], None],
+        on_note: Callable[[str, messages.Body], None] | None = None,
     ):
         self._settings = settings
         self._handler = handler
         self._on_garbage = on_garbage
+        self._on_note = on_note
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task] = set()
         self.bytes_sent = 0
@@ -409,6 +420,9 @@
                 envelope = await channel.receive()
                 self.bytes_received += channel.bytes_received
                 channel.bytes_received = 0
+                if not envelope.id and self._on_note is not None:
+                    self._on_note(channel.hello.vm, envelope.body)
+                    continue
                 # A question may wait for others: it must not hold up the next.
                 group.create_task(self._reply(channel, envelope))
 
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -334,6 +334,42 @@
   5: required bool joining
 }
 
+struct RelaySend {
+  1: required i64 token
+  2: required string upstream
+}
+
+// A query that a peer sends to searchers of its availability zone.
+struct RelayAsk {
+  1: required binary request_id
+  2: required binary method
+  3: required binary target
+  // Lines of the head that searchers get, as sent.
+  4: required binary head
+  5: required binary body
+  // Time that the caller still waits, ms.
+  6: required i32 left_ms
+  // Records of the merged answer: smaller ones need not be sent back.
+  7: required i32 top
+  8: required list<RelaySend> sends
+}
+
+struct RelayReply {
+  1: required i64 token
+  // Number of a kind of reply of the links to searchers.
+  2: required i32 kind
+  3: i32 status = 0
+  4: binary stamp = ""
+  5: binary body = ""
+  6: i32 cold_ms = 0
+  7: bool is_misdirected = 0
+  // Replies to the same ask before this one; none of them may be missing.
+  8: required i32 index
+}
+
+struct RelayReplies { 1: required list<RelayReply> replies }
+struct RelayCancel { 1: required list<i64> tokens }
+
 // Exactly one field is set.
 struct Body {
   1: optional Heartbeat heartbeat
@@ -360,9 +396,13 @@
   22: optional EntryBeat entry_beat
   23: optional serving.ViewRequest view_request
   24: optional serving.ViewNews view_news
+  25: optional RelayAsk relay_ask
+  26: optional RelayReplies relay_replies
+  27: optional RelayCancel relay_cancel
 }
 
 struct Envelope {
+  // 0 in a note, which has no reply.
   1: required i64 id
   // 0 in a request.
   2: required i64 reply_to
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -233,6 +233,50 @@
     assert 200 < took_ms <= GATHER.timeout_ms + 100
 
 
+class FakeRelay:
+    """Takes all first sends and answers each shard after a time of its own."""
+
+    def __init__(self, delays_s):
+        self.delays_s = delays_s
+        self.taken = set()
+
+    def submit(self, zone, outbound, top, sends, deliver):
+        loop = asyncio.get_running_loop()
+        for send in sends:
+            self.taken.add(send.token)
+            reply = answered(send.replica.upstream, b"via")
+            delay_s = self.delays_s.get(send.group, 0.01)
+            loop.call_later(delay_s, deliver, send.token, reply)
+        return True
+
+    def cancel(self, tokens):
+        return [token for token in tokens if token not in self.taken]
+
+
+def test_a_reply_through_a_peer_is_in_the_answer_though_a_sibling_was_first():
+    # The peer has pruned its other replies against it. s3 keeps the answer
+    # open until the late reply of s0 is there.
+    far = [samples.upstream(f"{s}-far", s, zone="b") for s in SHARDS]
+    spare = samples.upstream("s0-spare", "s0", zone="c")
+    route = samples.gather(SHARDS, target_ms=400, timeout_ms=600)
+    rig = Rig(
+        lambda upstream, outbound: (0.0, answered(upstream, b"sibling")),
+        [route],
+        [*far, spare],
+    )
+    for _ in range(60):
+        rig.dispatcher._latencies.observe(route.name, 8)
+    # A busy spare is not chosen first.
+    replica = rig.dispatcher._replicas.get(spare)
+    for token in range(-5, 0):
+        replica.begin(token, 1000, clocks.Clock().now())
+    rig.dispatcher.set_relay(FakeRelay({"s0": 0.06, "s3": 0.09}))
+    answer = rig.serve(request(deadline_ms=900))
+    assert [u.id for u, _ in rig.pool.sent] == ["s0-spare"]
+    assert b"s0-far" in answer.stamps
+    assert b"s0-spare" not in answer.stamps
+
+
 ONCE = samples.route("/p/", kind=serving.RouteKind.NON_IDEMPOTENT)
 ONE_OF = samples.route("/a/", max_attempts=2, target_ms=100)
 STORES = [samples.upstream(f"i-{n}") for n in range(3)]
