--- /dev/null
+++ b/tests/entry/test_fleet.py
@@ -0,0 +1,176 @@
+import asyncio
+
+from citrondoor import clock as clocks
+from citrondoor import entry
+from citrondoor.schema import messages
+from citrondoor.schema import serving
+from tests import serving_samples as samples
+from tests.entry import test_dispatcher
+from tests.platform import world
+
+
+class Node:
+    """A daemon's fleet and view on loopback."""
+
+    def __init__(self, number, ports, seeds, incarnation=None):
+        self.port = ports[number]
+        zone = "abc"[number % 3]
+        self.settings = serving.EntrySettings(
+            vm=f"vm-{number}",
+            zone=zone,
+            region="r",
+            front=f"127.0.0.1:{20000 + number}",
+            readiness="127.0.0.1:2",
+            directory="127.0.0.1:3",
+            peers=f"127.0.0.1:{self.port}",
+            metrics="127.0.0.1:5",
+            store=serving.StoreSettings("127.0.0.1:6"),
+            seeds=seeds,
+        )
+        self.clock = clocks.Clock()
+        self.view = entry.LocalView(lambda kind, detail: None, {})
+        self.fleet = entry.Fleet(
+            self.settings,
+            incarnation or self.clock.wall(),
+            self.view,
+            self.clock,
+            test_dispatcher.FakeLog(),
+        )
+        self.ticker = None
+
+    async def start(self):
+        await self.fleet.start()
+        self.fleet.set_place(
+            serving.EntryPlace(
+                "127.0.0.1",
+                20000,
+                self.port,
+                self.settings.zone,
+                "r",
+                True,
+            )
+        )
+        self.ticker = asyncio.create_task(self.tick())
+
+    async def tick(self):
+        while True:
+            self.fleet.tick(self.clock.now())
+            await asyncio.sleep(0.02)
+
+    async def stop(self):
+        self.ticker.cancel()
+        await self.fleet.close()
+
+
+async def until(condition, timeout_s=6.0):
+    async with asyncio.timeout(timeout_s):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def run(body, count=3, seeds_of=lambda ports: ports[:1]):
+    async def whole():
+        ports = world.free_ports(count + 1)
+        seeds = [f"127.0.0.1:{port}" for port in seeds_of(ports)]
+        nodes = [Node(n, ports, seeds) for n in range(count)]
+        for node in nodes:
+            await node.start()
+        try:
+            await until(
+                lambda: all(
+                    len(n.fleet.places()) == len(n.fleet.live()) == count
+                    for n in nodes
+                )
+            )
+            await body(nodes, ports, seeds)
+        finally:
+            for node in nodes:
+                if not node.ticker.cancelled():
+                    await node.stop()
+
+    asyncio.run(whole())
+
+
+def test_daemons_that_know_one_seed_find_each_other():
+    async def body(nodes, ports, seeds):
+        assert all(len(n.fleet.live()) == 3 for n in nodes)
+
+    run(body)
+
+
+def test_dead_seeds_among_the_list_do_no_harm():
+    async def body(nodes, ports, seeds):
+        assert len(nodes[2].fleet.live()) == 3
+
+    run(body, seeds_of=lambda ports: [ports[-1], ports[1]])
+
+
+def test_a_view_travels_from_its_reader_to_all():
+    async def body(nodes, ports, seeds):
+        found = [samples.upstream()]
+        reading = entry.StoreReading(7, samples.route_set(3), found, ["z"])
+        nodes[1].fleet.note_store_read(nodes[1].clock.now())
+        nodes[1].view.take_reading(reading, nodes[1].clock.now())
+        await until(lambda: all(n.view.is_complete for n in nodes), 2.0)
+        assert {n.view.routes.version for n in nodes} == {3}
+        assert {n.view.evacuations.zones for n in nodes} == {frozenset("z")}
+        await until(
+            lambda: all(
+                n.fleet.store_age_ms(n.clock.now()) < 2000 for n in nodes
+            )
+        )
+
+    run(body)
+
+
+def test_a_leaving_daemon_is_named_no_more_at_once():
+    async def body(nodes, ports, seeds):
+        nodes[2].fleet.set_leaving()
+        await until(lambda: len(nodes[0].fleet.places()) == 2, 0.3)
+
+    run(body)
+
+
+def test_a_daemon_that_is_gone_is_named_no_more():
+    async def body(nodes, ports, seeds):
+        await nodes[2].stop()
+        await until(lambda: len(nodes[0].fleet.places()) == 2, 3.5)
+        # Bounds still count it: it may only be cut off.
+        assert nodes[0].fleet.member_count(nodes[0].clock.now()) == 3
+
+    run(body)
+
+
+def test_a_daemon_whose_clock_went_back_is_believed_again():
+    async def body(nodes, ports, seeds):
+        await nodes[2].stop()
+        again = Node(2, ports, seeds, incarnation=5)
+        await again.start()
+        nodes[2] = again
+        await until(lambda: len(nodes[0].fleet.places()) == 3)
+        state = nodes[0].fleet.members.state_of("vm-2")
+        assert state == messages.MemberState.ALIVE
+
+    run(body)
+
+
+def test_notes_reach_the_peer_without_a_reply():
+    async def body(nodes, ports, seeds):
+        got = []
+        nodes[1].fleet.take_notes(
+            messages.RelayCancel, lambda message, sender: got.append(sender)
+        )
+        note = messages.RelayCancel([1])
+        await until(lambda: nodes[0].fleet.tell("vm-1", note))
+        await until(lambda: bool(got), 1.0)
+        assert got[0] == "vm-0"
+
+    run(body)
+
+
+def test_peers_are_found_by_their_zone():
+    async def body(nodes, ports, seeds):
+        await until(lambda: nodes[0].fleet.reachable_in("b") == ["vm-1"])
+        assert nodes[0].fleet.reachable_in("nowhere") == []
+
+    run(body)
