Take changed settings while running

Cause: SIGHUP wrote a line and nothing else; a changed file without a signal was not noticed. Addresses in the settings were not checked before they were used. Change: the file is looked at each second and on SIGHUP; bounds and seeds are taken, a broken file leaves what is in force, other changes are named. Every address and the peers' key are checked at the start.

--- a/citrondoor/daemon/_entry.py
+++ b/citrondoor/daemon/_entry.py
@@ -1,23 +1,31 @@
 """Builds and runs the daemon that learns everything from the platform."""
 
 import asyncio
+import pathlib
 import random
+import re
 import signal
 import typing
 
 from citrondoor import addresses
 from citrondoor import clock as clocks
+from citrondoor import documents
 from citrondoor import entry
+from citrondoor import errors
 from citrondoor import links
 from citrondoor import membership
 from citrondoor.daemon import _entry_metrics
 from citrondoor.daemon import _lifecycle
+from citrondoor.daemon import _settings_watch
 from citrondoor.schema import messages
 from citrondoor.schema import serving
 
 TICK_MS = 100
 # Time between lines of the log that tell the counters, in seconds.
 SUMMARY_S = 5.0
+# Time between looks at the settings file, in seconds.
+SETTINGS_CHECK_S = 1.0
+_KEY_PATTERN = re.compile(r"([0-9a-f]{2}){16,}")
 # Parts of the grace of a shutdown. Callers keep an old list of entries for a
 # while and must still find this one; then requests that were read are ended.
 SERVE_SHARE = 0.6
@@ -26,6 +34,38 @@
 JOIN_POLL_MS = 10
 
 
+def read_entry_settings(path: pathlib.Path) -> serving.EntrySettings:
+    """Returns the checked settings of a file.
+
+    Raises:
+      errors.DocumentError: The file is missing or breaks the schema.
+    """
+    settings = documents.read_file(serving.EntrySettings, path)
+    places = {
+        name: getattr(settings, name)
+        for name in ("front", "readiness", "directory", "peers", "metrics")
+    }
+    places["store.address"] = settings.store.address
+    for number, seed in enumerate(settings.seeds):
+        places[f"seeds[{number}]"] = seed
+    for name, text in places.items():
+        try:
+            addresses.split_address(text)
+        except errors.ParameterError as error:
+            raise errors.DocumentError(
+                str(path), 1, f"{name} is {text!r}", "write IP:PORT"
+            ) from error
+    key = settings.peer_key
+    if key and not _KEY_PATTERN.fullmatch(key):
+        raise errors.DocumentError(
+            str(path),
+            1,
+            f"peer_key has {len(key)} characters or is not hexadecimal",
+            "use at least 32 hexadecimal digits, lower case, or none",
+        )
+    return settings
+
+
 class Adapter(typing.Protocol):
     """What stands between the daemon and the platform."""
 
@@ -49,6 +89,7 @@
     """All parts of one daemon.
 
     Args:
+      path: The settings file.
       settings: Checked settings.
       adapter: Translates for the platform.
       clock: Clock of the daemon.
@@ -70,17 +111,18 @@
         "_pool",
         "_readiness",
         "_relay",
-        "_reload",
         "_settings",
         "_source",
         "_stopping",
         "_store",
         "_tasks",
         "_view",
+        "_watch",
     )
 
     def __init__(
         self,
+        path: pathlib.Path,
         settings: serving.EntrySettings,
         adapter: Adapter,
         clock: clocks.Clock,
@@ -93,9 +135,15 @@
         self._incarnation = clock.wall()
         self._log = entry.DecisionLog(settings.vm, clock)
         self._stopping = asyncio.Event()
-        self._reload = asyncio.Event()
         self._tasks: list[asyncio.Task] = []
         self._lifecycle = _lifecycle.Lifecycle(self._record)
+        self._watch = _settings_watch.SettingsWatch(
+            path,
+            settings,
+            read_entry_settings,
+            self._on_settings,
+            self._log.write,
+        )
         self._build_view()
         self._build_dispatcher()
         self._build_servers()
@@ -198,6 +246,7 @@
         self._fleet.set_place(self._place(is_ready=False))
         self._start_task(self._tick_forever())
         self._start_task(self._summarize_forever())
+        self._start_task(self._watch_settings())
         await self._join()
         self._start_task(self._metrics.start(self._keeper, self._fleet))
         await self._stopping.wait()
@@ -304,9 +353,17 @@
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
 
     def _on_hangup(self) -> None:
-        # Addresses and bounds of a VM are fixed for the life of its daemon;
-        # everything that changes comes from the store.
-        self._log.write("reload", detail="settings stay until the next start")
+        self._watch.check(is_signalled=True)
+
+    def _on_settings(self, settings: serving.EntrySettings) -> None:
+        self._settings = settings
+        self._fleet.set_seeds(settings.seeds)
+        self._dispatcher.set_bounds(settings.bounds)
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_S)
+            self._watch.check()
 
     def _start_task(self, coroutine) -> None:
         task = asyncio.create_task(coroutine)
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -164,6 +164,11 @@
         """Takes the way to searchers of other zones."""
         self._relay = relay
 
+    def set_bounds(self, bounds: serving.BoundSettings) -> None:
+        """Takes changed bounds."""
+        self._budgets.set_bounds(bounds)
+        self._cold.set_bounds(bounds)
+
     def set_members(self, names: list[str], members: int) -> None:
         """Takes the daemons that share bounds.
 
--- a/citrondoor/entry/_fleet.py
+++ b/citrondoor/entry/_fleet.py
@@ -59,6 +59,7 @@
         "_notes",
         "_outages",
         "_own_address",
+        "_seeds",
         "_seen_alive",
         "_server",
         "_settings",
@@ -78,6 +79,7 @@
         log: _recording.DecisionLog,
     ):
         self._settings = settings
+        self._seeds = settings.seeds
         self._own_address = addresses.split_address(settings.peers)
         self._view = view
         self._clock = clock
@@ -166,6 +168,10 @@
             and self._members.place_of(name).is_ready
         ]
 
+    def set_seeds(self, seeds: list[str]) -> None:
+        """Takes the peers to ask when no other is known."""
+        self._seeds = seeds
+
     def tell(self, name: str, message) -> bool:
         """Sends a note to a peer; returns whether its link is up."""
         link = self._links.get(name)
@@ -233,7 +239,7 @@
             self._dial_seeds()
 
     def _dial_seeds(self) -> None:
-        for seed in self._settings.seeds:
+        for seed in self._seeds:
             place = addresses.split_address(seed)
             if place != self._own_address:
                 self._open(f"seed/{seed}", "", *place)
--- a/citrondoor/fanout/_budget.py
+++ b/citrondoor/fanout/_budget.py
@@ -78,6 +78,10 @@
         self.denied = 0
         self.spent = 0
 
+    def set_bounds(self, settings: serving.BoundSettings) -> None:
+        """Takes another ratio and slack; the window needs a new start."""
+        self._settings = settings
+
     def set_members(self, members: int) -> None:
         """Takes the number of daemons that share the slack."""
         self._members = max(1, members)
--- a/citrondoor/fanout/_cold.py
+++ b/citrondoor/fanout/_cold.py
@@ -31,6 +31,11 @@
         self._members: tuple[str, ...] = (vm,)
         self._buckets: dict[str, _bucket.Bucket] = {}
 
+    def set_bounds(self, settings: serving.BoundSettings) -> None:
+        """Takes another factor and slack."""
+        self._settings = settings
+        self._buckets.clear()
+
     def set_members(self, members: list[str]) -> None:
         """Takes the names of the daemons that share the rate."""
         if tuple(members) != self._members:
--- a/citrondoor/platform/__main__.py
+++ b/citrondoor/platform/__main__.py
@@ -10,7 +10,6 @@
 
 from citrondoor import clock as clocks
 from citrondoor import collector
-from citrondoor import documents
 from citrondoor import errors
 from citrondoor import platform
 from citrondoor.daemon import _entry
@@ -61,21 +60,19 @@
 def main(path: pathlib.Path, check: bool) -> None:
     """Runs the daemon of one entry VM until SIGTERM."""
     try:
-        settings = documents.read_file(
-            serving.EntrySettings, pathlib.Path(path)
-        )
+        settings = _entry.read_entry_settings(pathlib.Path(path))
     except errors.DocumentError as error:
         click.echo(str(error), err=True)
         sys.exit(EXIT_BAD_SETTINGS)
     if check:
         return
     collector.tune()
-    asyncio.run(_run(settings))
+    asyncio.run(_run(pathlib.Path(path), settings))
 
 
-async def _run(settings: serving.EntrySettings) -> None:
+async def _run(path: pathlib.Path, settings: serving.EntrySettings) -> None:
     daemon = _entry.EntryDaemon(
-        settings, PlatformAdapter(), clocks.Clock(), random.Random()
+        path, settings, PlatformAdapter(), clocks.Clock(), random.Random()
     )
     await daemon.run()
 
