--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -1,9 +1,7 @@
 """Carries out the fanout of each request."""
 
 import asyncio
-import functools
 import itertools
-import math
 import random
 
 from citrondoor import clock as clocks
@@ -11,9 +9,11 @@
 from citrondoor import links
 from citrondoor import refusals
 from citrondoor import routes
+from citrondoor.entry import _answers
 from citrondoor.entry import _messages
 from citrondoor.entry import _recording
 from citrondoor.entry import _relay
+from citrondoor.entry import _running
 from citrondoor.entry import _view
 from citrondoor.schema import messages
 from citrondoor.schema import serving
@@ -24,9 +24,6 @@
 LEAST_REMOTE_COST_MS = 2.0
 # An answer needs this long to reach the caller.
 ANSWER_MS = 6
-# A caller that is turned away while a back end is down comes back after this
-# time and up to as long again, so that callers do not return together.
-RETRY_AFTER_MS = 250
 
 _OUTCOMES = {
     links.ReplyKind.ANSWERED: fanout.Outcome.ANSWERED,
@@ -37,40 +34,6 @@
 }
 
 
-class _Running:
-    """A request that is being served."""
-
-    __slots__ = (
-        "failure",
-        "fanout",
-        "is_over",
-        "outbound",
-        "replies",
-        "route",
-        "usual_ms",
-        "wakes_at",
-        "woken",
-    )
-
-    def __init__(
-        self,
-        route: routes.BoundRoute,
-        plan: fanout.Plan,
-        outbound: links.Outbound,
-    ):
-        self.route = route
-        self.usual_ms = plan.usual_ms
-        self.outbound = outbound
-        self.fanout: fanout.Fanout | None = None
-        self.replies: dict[str, links.Reply] = {}
-        # The last failure that a searcher answered with.
-        self.failure: links.Reply | None = None
-        # Ends of further sends change nothing any more.
-        self.is_over = False
-        self.wakes_at = 0.0
-        self.woken: asyncio.Future | None = None
-
-
 class DispatchCounters:
     """Counts of requests and sends."""
 
@@ -147,7 +110,7 @@
         self._cold = fanout.ColdShares(settings.bounds, settings.vm)
         self._latencies = fanout.RouteLatencies()
         self._numbers = itertools.count(1)
-        self._sends: dict[int, tuple[fanout.Send, _Running]] = {}
+        self._sends: dict[int, tuple[fanout.Send, _running.Running]] = {}
         self.counters = DispatchCounters()
         self.in_flight = 0
 
@@ -238,7 +201,7 @@
         self._withdraw([send.token for send in running.fanout.pending()])
         if verdict is None:
             return None
-        answer = compose(route.target, running, verdict)
+        answer = _answers.compose(route.target, running, verdict)
         self._note(request, running, verdict)
         return answer
 
@@ -247,7 +210,7 @@
         request: _messages.CallerRequest,
         route: routes.BoundRoute,
         groups: tuple[str, ...],
-    ) -> _Running:
+    ) -> _running.Running:
         declared = route.route
         wait_ms = declared.timeout_ms
         if request.deadline_ms is not None:
@@ -255,7 +218,7 @@
         ends_at = request.arrived_at + wait_ms
         usual_ms = self._latencies.usual_ms(declared.name)
         plan = fanout.Plan(
-            _least_groups(route.target),
+            _answers.least_groups(route.target),
             declared.max_attempts,
             route.is_idempotent,
             request.arrived_at + declared.target_ms - ANSWER_MS,
@@ -273,7 +236,7 @@
             ends_at,
             route.is_idempotent,
         )
-        running = _Running(route, plan, outbound)
+        running = _running.Running(route, plan, outbound)
         running.fanout = fanout.Fanout(
             groups,
             plan,
@@ -294,7 +257,7 @@
         return lambda backend: [u for u in usable(backend) if u.zone in zones]
 
     async def _run(
-        self, running: _Running, left: asyncio.Future
+        self, running: _running.Running, left: asyncio.Future
     ) -> fanout.Verdict | None:
         """Sends until there is a verdict; None when the caller has left."""
         state = running.fanout
@@ -326,10 +289,10 @@
             self._pool.abandon(token)
 
     def _submit_first(
-        self, running: _Running, sends: list[fanout.Send]
+        self, running: _running.Running, sends: list[fanout.Send]
     ) -> None:
         """Sends to each zone, through a peer there where that is shorter."""
-        top = _relayed_records(running.route.target)
+        top = _answers.relayed_records(running.route.target)
         if self._relay is None or top is None or running.route.route.regions:
             self._submit(running, sends)
             return
@@ -350,7 +313,9 @@
             else:
                 self._submit(running, zone_sends)
 
-    def _submit(self, running: _Running, sends: list[fanout.Send]) -> None:
+    def _submit(
+        self, running: _running.Running, sends: list[fanout.Send]
+    ) -> None:
         for send in sends:
             self._sends[send.token] = (send, running)
             self.counters.sends += 1
@@ -402,7 +367,7 @@
     def _observe(
         self,
         send: fanout.Send,
-        running: _Running,
+        running: _running.Running,
         reply: links.Reply,
         now: int,
     ) -> None:
@@ -436,7 +401,7 @@
     def _note(
         self,
         request: _messages.CallerRequest,
-        running: _Running,
+        running: _running.Running,
         verdict: fanout.Verdict,
     ) -> None:
         """Counts a request; logs those that were not answered whole."""
@@ -476,68 +441,3 @@
             retry_after_ms=refusal.retry_after_ms,
             version=self._view.routes.version,
         )
-
-
-@functools.singledispatch
-def _least_groups(target) -> int:
-    """Returns how many back ends must answer."""
-    return 1
-
-
-@_least_groups.register
-def _(target: routes.Scatter) -> int:
-    return max(1, math.ceil(target.least_share * len(target.shards) - 1e-9))
-
-
-@functools.singledispatch
-def _relayed_records(target) -> int | None:
-    """Returns how many records matter, or None if no peer may send."""
-    return None
-
-
-@_relayed_records.register
-def _(target: routes.Scatter) -> int | None:
-    return target.top
-
-
-@functools.singledispatch
-def compose(
-    target, running: _Running, verdict: fanout.Verdict
-) -> _messages.Answer:
-    """Returns the answer that a caller gets.
-
-    Args:
-      target: What the route leads to.
-      running: The request and the searchers' replies.
-      verdict: What was decided.
-    """
-    if verdict == fanout.Verdict.COMPLETE:
-        (reply,) = running.replies.values()
-        return _messages.Relayed(reply.response)
-    if verdict == fanout.Verdict.FAILED and running.failure is not None:
-        return _messages.Relayed(running.failure.response)
-    return _refuse(running, verdict)
-
-
-@compose.register
-def _(
-    target: routes.Scatter, running: _Running, verdict: fanout.Verdict
-) -> _messages.Answer:
-    if verdict in (fanout.Verdict.COMPLETE, fanout.Verdict.PARTIAL):
-        replies = list(running.replies.values())
-        bodies = [reply.response.body for reply in replies]
-        return _messages.Gathered(
-            [reply.stamp for reply in replies],
-            len(target.shards) - len(replies),
-            fanout.greatest_records(bodies, target.top),
-        )
-    return _refuse(running, verdict)
-
-
-def _refuse(running: _Running, verdict: fanout.Verdict) -> messages.Refusal:
-    name = running.route.route.name
-    missing = running.fanout.missing
-    if verdict == fanout.Verdict.NOT_RUN:
-        spread_ms = hash(running.outbound.request_id) % RETRY_AFTER_MS
-        return refusals.no_searcher(name, missing, RETRY_AFTER_MS + spread_ms)
-    return refusals.upstream_failed(name, missing)
--- /dev/null
+++ b/citrondoor/entry/_running.py
@@ -0,0 +1,47 @@
+"""What the daemon knows of a request while it is being served."""
+
+import asyncio
+
+from citrondoor import fanout
+from citrondoor import links
+from citrondoor import routes
+
+
+class Running:
+    """A request that is being served.
+
+    Args:
+      route: Its route.
+      plan: Limits of its fanout.
+      outbound: What searchers get.
+    """
+
+    __slots__ = (
+        "failure",
+        "fanout",
+        "is_over",
+        "outbound",
+        "replies",
+        "route",
+        "usual_ms",
+        "wakes_at",
+        "woken",
+    )
+
+    def __init__(
+        self,
+        route: routes.BoundRoute,
+        plan: fanout.Plan,
+        outbound: links.Outbound,
+    ):
+        self.route = route
+        self.usual_ms = plan.usual_ms
+        self.outbound = outbound
+        self.fanout: fanout.Fanout | None = None
+        self.replies: dict[str, links.Reply] = {}
+        # The last failure that a searcher answered with.
+        self.failure: links.Reply | None = None
+        # Ends of further sends change nothing any more.
+        self.is_over = False
+        self.wakes_at = 0.0
+        self.woken: asyncio.Future | None = None
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -15,7 +15,7 @@
 
 BACKLOG = 1024
 DEFAULT_LIMITS = serving.CallerLimits(16_384, 262_144, 5_000, 75_000)
-# Bytes of pipelined requests after which reading pauses.
+# Whole requests that wait on one connection before reading pauses.
 MAX_PIPELINED = 16
 
 
