Split records in one place; remove what nobody calls

Cause: reading the whole change once more: records were cut out of a body in two modules, the pattern of the peers' key stood twice, and five names had no caller. Change: split_records and KEY_PATTERN are shared; dead code is out; behaviour is unchanged.

--- a/citrondoor/daemon/_entry.py
+++ b/citrondoor/daemon/_entry.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import random
-import re
 import signal
 import typing
 
@@ -16,6 +15,7 @@
 from citrondoor import membership
 from citrondoor.daemon import _entry_metrics
 from citrondoor.daemon import _lifecycle
+from citrondoor.daemon import _settings
 from citrondoor.daemon import _settings_watch
 from citrondoor.schema import messages
 from citrondoor.schema import serving
@@ -25,7 +25,6 @@
 SUMMARY_S = 5.0
 # Time between looks at the settings file, in seconds.
 SETTINGS_CHECK_S = 1.0
-_KEY_PATTERN = re.compile(r"([0-9a-f]{2}){16,}")
 # Parts of the grace of a shutdown. Callers keep an old list of entries for a
 # while and must still find this one; then requests that were read are ended.
 SERVE_SHARE = 0.6
@@ -56,7 +55,7 @@
                 str(path), 1, f"{name} is {text!r}", "write IP:PORT"
             ) from error
     key = settings.peer_key
-    if key and not _KEY_PATTERN.fullmatch(key):
+    if key and not _settings.KEY_PATTERN.fullmatch(key):
         raise errors.DocumentError(
             str(path),
             1,
--- a/citrondoor/daemon/_settings.py
+++ b/citrondoor/daemon/_settings.py
@@ -7,7 +7,7 @@
 from citrondoor import errors
 from citrondoor.schema import settings as schema_settings
 
-_KEY_PATTERN = re.compile(r"([0-9a-f]{2}){16,}")
+KEY_PATTERN = re.compile(r"([0-9a-f]{2}){16,}")
 _DIGEST_PATTERN = re.compile(r"[0-9a-f]{64}")
 _SEED_PATTERN = re.compile(r"[0-9.]+:[0-9]{1,5}")
 
@@ -19,7 +19,7 @@
       errors.DocumentError: The file is missing or breaks the schema.
     """
     settings = documents.read_file(schema_settings.DaemonSettings, path)
-    if not _KEY_PATTERN.fullmatch(settings.peers.key):
+    if not KEY_PATTERN.fullmatch(settings.peers.key):
         raise errors.DocumentError(
             str(path),
             1,
--- a/citrondoor/entry/_relay.py
+++ b/citrondoor/entry/_relay.py
@@ -42,10 +42,9 @@
 class _Asked:
     """Sends that one message gave to a peer."""
 
-    __slots__ = ("expires_at", "next_index", "peer", "sent_at")
+    __slots__ = ("expires_at", "next_index", "sent_at")
 
-    def __init__(self, peer: str, sent_at: int, expires_at: int):
-        self.peer = peer
+    def __init__(self, sent_at: int, expires_at: int):
         self.sent_at = sent_at
         self.expires_at = expires_at
         self.next_index = 0
@@ -151,7 +150,7 @@
         if not self._fleet.tell(peer, self._make_ask(outbound, top, sends)):
             return False
         owed = self._owed.setdefault(peer, {})
-        asked = _Asked(peer, now, outbound.deadline_at + EXPIRY_MS)
+        asked = _Asked(now, outbound.deadline_at + EXPIRY_MS)
         for send in sends:
             owed[send.token] = (asked, deliver)
             self._peer_of[send.token] = peer
--- a/citrondoor/fanout/_cold.py
+++ b/citrondoor/fanout/_cold.py
@@ -73,7 +73,3 @@
         burst = max(1.0, slack / senders)
         bucket.resize(rate_per_s * RATE_SHARE / senders, burst, now)
         return bucket
-
-    def forget(self, upstream_id: str) -> None:
-        """Drops the bucket of a searcher that is warm or gone."""
-        self._buckets.pop(upstream_id, None)
--- a/citrondoor/fanout/_fanout.py
+++ b/citrondoor/fanout/_fanout.py
@@ -17,8 +17,6 @@
 
 # A group without a searcher or budget is tried again after this time.
 RETRY_MS = 20
-# A connection to a caller takes about this long to carry the answer.
-ANSWER_MARGIN_MS = 5
 
 
 class Outcome(enum.Enum):
@@ -191,11 +189,6 @@
         """Groups that have not answered."""
         return [g.name for g in self._groups if not g.is_answered]
 
-    @property
-    def has_run(self) -> bool:
-        """Whether a searcher may have worked on it."""
-        return self._has_run
-
     def pending(self) -> list[Send]:
         """Returns the sends that are not ended."""
         return [s for g in self._groups for s in g.pending.values()]
--- a/citrondoor/fanout/_merge.py
+++ b/citrondoor/fanout/_merge.py
@@ -6,6 +6,15 @@
 RECORD_BYTES = 16
 
 
+def split_records(body: bytes) -> list[bytes]:
+    """Returns the records of a shard; a shorter remainder is none."""
+    last = len(body) - RECORD_BYTES
+    return [
+        body[start : start + RECORD_BYTES]
+        for start in range(0, last + 1, RECORD_BYTES)
+    ]
+
+
 def greatest_records(bodies: list[bytes], top: int) -> bytes:
     """Returns the greatest records of all bodies, greatest first.
 
@@ -14,9 +23,5 @@
         remainder is ignored.
       top: Number of records to return; equal records all count.
     """
-    records = [
-        body[start : start + RECORD_BYTES]
-        for body in bodies
-        for start in range(0, len(body) - RECORD_BYTES + 1, RECORD_BYTES)
-    ]
+    records = [record for body in bodies for record in split_records(body)]
     return b"".join(heapq.nlargest(top, records))
--- a/citrondoor/fanout/_pruning.py
+++ b/citrondoor/fanout/_pruning.py
@@ -22,11 +22,7 @@
 
     def prune(self, body: bytes) -> bytes:
         """Returns the records of a shard that may be in the answer."""
-        size = _merge.RECORD_BYTES
-        records = [
-            body[start : start + size]
-            for start in range(0, len(body) - size + 1, size)
-        ]
+        records = _merge.split_records(body)
         is_full = len(self._kept) >= self._top
         least = self._kept[-1] if is_full and self._kept else b""
         useful = sorted((r for r in records if r > least), reverse=True)
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -90,11 +90,6 @@
         """Whether a request has begun to arrive and is not whole."""
         return self._reader.is_in_head or self._reader.is_in_body
 
-    @property
-    def has_request(self) -> bool:
-        """Whether a whole request waits."""
-        return bool(self._requests)
-
     async def next_request(
         self, idle_ms: int, whole_ms: int
     ) -> http1.Request | None:
