Keep the stand-in caller from using a session it gave up

A question for entries that was under way still named the old session, and its late answer put that session back: ids were used twice, for two receipts and one count. Ruled out by reading: the ledger, which unites sets and loses none of them while one holder lives.

Change: an answer to a question of an earlier session is asked again.

--- a/citrondoor/standins/client.py
+++ b/citrondoor/standins/client.py
@@ -111,9 +111,14 @@
         # An expired answer still names places where one can ask.
         places = self._entries + self._seeds
         for place in places:
-            path = f"/v1/entries?zone={self._zone}&session={self._session}"
+            session = self._session
+            path = f"/v1/entries?zone={self._zone}&session={session}"
             url = place + path
             status, content = await self._send("GET", url, None, 2000)
+            if session and not self._session:
+                # The session was given up while this was asked. Its numbers
+                # start anew: ids of the old one would name other requests.
+                return await self.entries()
             if status == 200 and content["entries"]:
                 self._entries = [e["url"] for e in content["entries"]]
                 self._expires_at = now + content["keep_ms"]
