--- a/tests/fanout/test_latency.py
+++ b/tests/fanout/test_latency.py
@@ -45,7 +45,7 @@
 
 
 def observe(latencies, source, median_ms, slow_share=0.0, count=1000):
-    """Adds answers of some requests; returns whether searchers count as busy."""
+    """Adds answers of requests; returns whether searchers count as busy."""
     for number in range(count):
         if number % 20 == 0:
             is_busy = latencies.begin("r")
