Ask up to three times, and at once after a lost answer

Change: three sends to one searcher; one whose answer was lost is asked at once, one that has rejected the request after 20 ms as before.

--- a/citrondoor/fanout/_fanout.py
+++ b/citrondoor/fanout/_fanout.py
@@ -21,7 +21,7 @@
 RETRY_MS = 20
 # Sends of a request to one searcher. A route bounds the searchers; where
 # answers are lost, all that may be asked have often failed once.
-SENDS_TO_ONE = 2
+SENDS_TO_ONE = 3
 
 
 class Outcome(enum.Enum):
@@ -444,5 +444,7 @@
             return
         group.due_at = None
         # One that has just rejected it is asked again only after a while.
-        if not self._send(group, now, sends, ended.replica.upstream.id):
+        is_rejected = outcome == Outcome.NOT_RUN
+        avoided = ended.replica.upstream.id if is_rejected else ""
+        if not self._send(group, now, sends, avoided):
             self._wait(group, now)
