--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -434,7 +434,7 @@
         now = self._clock.now()
         waiting = [
             f"{send.group} {send.replica.upstream.id} {now - send.sent_at} ms"
-            for send in itertools.islice(state.pending(), LOGGED_SHARDS)
+            for send in state.awaited()[:LOGGED_SHARDS]
         ]
         self._log.write_request(
             "request_incomplete",
--- a/citrondoor/fanout/_fanout.py
+++ b/citrondoor/fanout/_fanout.py
@@ -224,6 +224,15 @@
         """Returns the sends that are not ended."""
         return [s for g in self._groups for s in g.pending.values()]
 
+    def awaited(self) -> list[Send]:
+        """Returns the sends to groups that have not answered."""
+        return [
+            send
+            for group in self._groups
+            if not group.is_answered
+            for send in group.pending.values()
+        ]
+
     def start(self, now: int) -> list[Send]:
         """Returns the first sends; counts the request at each back end."""
         for group in self._groups:
