--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -222,6 +222,7 @@
         if request.deadline_ms is not None:
             wait_ms = min(wait_ms, request.deadline_ms)
         ends_at = request.arrived_at + wait_ms
+        self._latencies.note_request(declared.name)
         usual_ms = self._latencies.usual_ms(declared.name)
         reply_ms = ANSWER_MS + (request.round_trip_ms or DEFAULT_ROUND_TRIP_MS)
         target_ms = fanout.time_to_target(
@@ -238,7 +239,7 @@
             ),
             usual_ms,
             max(LEAST_REMOTE_COST_MS, REMOTE_COST_SHARE * declared.target_ms),
-            self._latencies.begin(declared.name),
+            self._latencies.is_busy(declared.name),
         )
         outbound = links.Outbound(
             request.request_id,
--- a/citrondoor/entry/_fleet.py
+++ b/citrondoor/entry/_fleet.py
@@ -353,7 +353,7 @@
         now = self._clock.now()
         if beat.sender is None:
             self._members.note_heard(sender, now)
-            self._members.take(beat.news, now)
+            self._members.merge_news(beat.news, now)
         else:
             self._members.on_heard(beat.sender, beat.news, now)
 
--- a/citrondoor/fanout/_latency.py
+++ b/citrondoor/fanout/_latency.py
@@ -38,7 +38,6 @@
     def __init__(self):
         self._answers_ms: list[float] = []
         self._calm_ms = float("inf")
-        # So it is until enough answers were seen.
         self.is_busy = True
 
     def observe(self, latency_ms: float) -> None:
@@ -68,17 +67,23 @@
         known = self._routes.get(key)
         if known is None:
             known = self._routes[key] = routing.BackendLatency()
-            self._loads.setdefault(key, _Load())
+            self._loads[key] = _Load()
         known.observe(latency_ms)
         self._loads[key].observe(latency_ms)
 
-    def begin(self, key: str) -> bool:
-        """Notes a request; returns whether most searchers have no slot free."""
+    def note_request(self, key: str) -> None:
+        """Notes a request: the answers to those before it are whole."""
         load = self._loads.get(key)
-        if load is None:
-            load = self._loads[key] = _Load()
-        load.close_block()
-        return load.is_busy
+        if load is not None:
+            load.close_block()
+
+    def is_busy(self, key: str) -> bool:
+        """Returns whether most searchers of a route have no slot free.
+
+        So it is until enough answers were seen.
+        """
+        load = self._loads.get(key)
+        return load is None or load.is_busy
 
     def usual_ms(self, key: str) -> float:
         """Returns the typical latency of a route's sub-requests."""
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -122,7 +122,7 @@
         "_link",
         "_task",
         "exchange",
-        "is_accepted",
+        "may_be_replaced",
         "idle_limit_ms",
         "idle_since",
         "was_sent",
@@ -135,7 +135,7 @@
         self.exchange: _exchanges.Exchange | None = None
         self.was_sent = False
         # The searcher has kept it, so that another one may take its place.
-        self.is_accepted = False
+        self.may_be_replaced = False
         self.idle_since = 0
         self.idle_limit_ms = UNSTATED_IDLE_MS
 
@@ -204,7 +204,7 @@
             if reply.kind != _exchanges.ReplyKind.FOREIGN:
                 break
         self.exchange = None
-        self.is_accepted = True
+        self.may_be_replaced = True
         exchange.deliver(exchange.token, reply)
         self.idle_limit_ms = (
             http1.keep_alive_ms(response) or UNSTATED_IDLE_MS
@@ -285,7 +285,7 @@
         elif self._idle:
             # It may be closed as the request arrives: a new one replaces it.
             oldest = self._idle.pop(0)
-            oldest.is_accepted = True
+            oldest.may_be_replaced = True
             oldest.abort()
 
     def dial(self) -> None:
@@ -377,7 +377,7 @@
             exchange.deliver(exchange.token, _exchanges.Reply(kind))
         if not self._waiting:
             return
-        if connection.is_accepted and len(self._connections) < self.limit:
+        if connection.may_be_replaced and len(self._connections) < self.limit:
             self.dial()
         if self._connections:
             return
--- a/citrondoor/membership/_members.py
+++ b/citrondoor/membership/_members.py
@@ -209,9 +209,9 @@
         if believed != sender.state and sender.vm != self._self.vm:
             # It must hear what is believed of it, to refute that.
             self._spread(sender.vm)
-        self.take(news, now)
+        self.merge_news(news, now)
 
-    def take(self, news: list[messages.Member], now: int) -> None:
+    def merge_news(self, news: list[messages.Member], now: int) -> None:
         """Takes records of other members."""
         for member in news:
             self._merge(member, now)
--- a/tests/fanout/test_latency.py
+++ b/tests/fanout/test_latency.py
@@ -48,18 +48,18 @@
     """Adds answers of requests; returns whether searchers count as busy."""
     for number in range(count):
         if number % 20 == 0:
-            is_busy = latencies.begin("r")
+            latencies.note_request("r")
         latency_ms = median_ms * source.lognormvariate(0, 0.35)
         if source.random() < slow_share:
             latency_ms *= 10
         latencies.observe("r", latency_ms)
-    return is_busy
+    return latencies.is_busy("r")
 
 
 def test_searchers_count_as_busy_when_the_median_has_risen():
     latencies = fanout.RouteLatencies()
     source = random.Random(1)
-    assert latencies.begin("r")
+    assert latencies.is_busy("r")
     assert not observe(latencies, source, 45)
     # What 63% of busy slots do to the median of 42 ms of work.
     assert observe(latencies, source, 60)
--- a/tests/fanout/test_overload.py
+++ b/tests/fanout/test_overload.py
@@ -126,6 +126,7 @@
 
     def on_ask(self, now, _):
         daemon = self.source.randrange(self.daemons)
+        self.latencies[daemon].note_request("r")
         plan = fanout.Plan(
             self.least_shards,
             2,
@@ -135,7 +136,7 @@
             self.hedge_after_ms,
             float(self.work_ms),
             40.0,
-            self.latencies[daemon].begin("r"),
+            self.latencies[daemon].is_busy("r"),
         )
         query = fanout.Fanout(
             tuple(self.found),
