Draw the ports of test daemons below those of outgoing connections

Change: ports from 25000 to 31999, drawn anew by each run. A searcher of the soak that gets bytes that are no request is a problem now, not an exception of a task.

--- a/tests/platform/world.py
+++ b/tests/platform/world.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import base64
+import contextlib
+import random
 import socket
 import sys
 
@@ -20,13 +22,20 @@
 }
 
 
+# Below the ports that the kernel gives to outgoing connections: one of those
+# may take the port of a daemon that starts again.
+PORTS = range(25_000, 32_000)
+
+
 def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind((HOST, 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    ports = []
+    # Runs beside each other must not draw the same ones.
+    candidates = iter(random.SystemRandom().sample(PORTS, len(PORTS)))
+    while len(ports) < count:
+        port = next(candidates)
+        with socket.socket() as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            ports.append(port)
     return ports
 
 
--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -53,6 +53,10 @@
         self.proxy = None
         self.last_at = 0.0
 
+    def refuse(self, error):
+        self.soak.problems.append(f"{self.id} got bytes that are no request")
+        return http1.Response(400, [], b"")
+
     async def handle(self, request, left):
         if request.values(b"x-expect-instance") != [self.id.encode()]:
             return http1.Response(421, [], b"")
