Reject registrations and configurations that peers could not be sent

Cause: a number beyond 32 or 64 bits, or a list that held no strings, was taken from the store and then raised in the encoder each time that a peer asked for the view, so one entry of another writer kept all peers from the view. A route that is no object made the whole listing unreadable. An id with a line break would have added headers to requests, and a host name would have been looked up. Change: ranges and types are checked where values are decoded; ids must be printable ASCII and addresses IP addresses.

--- a/citrondoor/platform/_store.py
+++ b/citrondoor/platform/_store.py
@@ -2,6 +2,8 @@
 
 import base64
 import binascii
+import ipaddress
+import re
 import urllib.parse
 
 import orjson
@@ -23,6 +25,11 @@
     "ready": serving.UpstreamState.READY,
     "draining": serving.UpstreamState.DRAINING,
 }
+# Ids go into a header of each request, so they may not contain a line break.
+_UPSTREAM_ID = re.compile(r"[!-~]+")
+# Largest numbers that messages to peers can carry.
+_MAX_I32 = 2**31 - 1
+_MAX_I64 = 2**63 - 1
 # Maximum number of pages in one read, in case the store's listing never ends;
 # 63,000 searchers take 130 pages. A read that reaches it returns the pages so
 # far, without an error.
@@ -142,6 +149,12 @@
     return value
 
 
+def _mapping(value, what: str) -> dict:
+    if not isinstance(value, dict):
+        raise TypeError(f"{what} is {value!r}, not an object")
+    return value
+
+
 def _text(value: dict, name: str) -> str:
     text = value[name]
     if not isinstance(text, str) or not text:
@@ -149,19 +162,36 @@
     return text
 
 
-def _number(value: dict, name: str, default: float | None = None) -> float:
+def _texts(value: dict, name: str) -> list[str]:
+    texts = value.get(name) or []
+    if not isinstance(texts, list) or not all(
+        isinstance(text, str) for text in texts
+    ):
+        raise TypeError(f"{name} is {texts!r}, not a list of strings")
+    return texts
+
+
+def _number(
+    value: dict,
+    name: str,
+    default: float | None = None,
+    limit: int = _MAX_I32,
+) -> float:
     number = value[name] if default is None else value.get(name, default)
     if isinstance(number, bool) or not isinstance(number, int | float):
         raise TypeError(f"{name} is {number!r}, not a number")
-    if number != number or number in (float("inf"), float("-inf")):
-        raise ValueError(f"{name} is {number!r}, not finite")
+    if not -limit <= number <= limit:
+        raise ValueError(f"{name} is {number!r}, not a number within {limit}")
     return number
 
 
 def _non_negative_int(
-    value: dict, name: str, default: int | None = None
+    value: dict,
+    name: str,
+    default: int | None = None,
+    limit: int = _MAX_I32,
 ) -> int:
-    number = _number(value, name, default)
+    number = _number(value, name, default, limit)
     if not isinstance(number, int) or number < 0:
         raise TypeError(f"{name} is {number!r}, not a non-negative integer")
     return number
@@ -179,15 +209,17 @@
       TypeError: A field has the wrong type.
       ValueError: A field has a value that is not allowed.
     """
+    if not _UPSTREAM_ID.fullmatch(upstream_id):
+        raise ValueError(f"the id {upstream_id!r} is not printable ASCII")
     host, _, port = _text(value, "address").rpartition(":")
     state = _text(value, "state")
     if state not in _UPSTREAM_STATES:
         raise ValueError(f"state is {state!r}, not ready or draining")
-    if not host or not 0 < int(port) < 65536:
-        raise ValueError(f"address is {value['address']!r}, not host:port")
+    if not _is_ip_address(host) or not 0 < int(port) < 65536:
+        raise ValueError(f"address is {value['address']!r}, not IP:PORT")
     capacity = _non_negative_int(value, "capacity")
     # Required and checked, but not used.
-    _non_negative_int(value, "seq")
+    _non_negative_int(value, "seq", limit=_MAX_I64)
     return serving.Upstream(
         upstream_id,
         _text(value, "service"),
@@ -198,10 +230,18 @@
         _UPSTREAM_STATES[state],
         int(_number(value, "warmup-left-ms")),
         # Start of the searcher's process in Unix ms, not of its registration.
-        _non_negative_int(value, "born"),
+        _non_negative_int(value, "born", limit=_MAX_I64),
     )
 
 
+def _is_ip_address(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 def decode_routes(value: dict) -> serving.RouteSet:
     """Returns the configuration that a store value describes.
 
@@ -210,11 +250,11 @@
       TypeError: A field has the wrong type.
       ValueError: A field has a value that is not allowed.
     """
-    limits = value["limits"]
+    limits = _mapping(value["limits"], "limits")
     return serving.RouteSet(
-        _non_negative_int(value, "version"),
-        [_decode_route(route) for route in value["routes"]],
-        [_decode_backend(backend) for backend in value["services"]],
+        _non_negative_int(value, "version", limit=_MAX_I64),
+        [_decode_route(_mapping(r, "a route")) for r in value["routes"]],
+        [_decode_backend(_mapping(b, "a service")) for b in value["services"]],
         serving.CallerLimits(
             _non_negative_int(limits, "max-header-bytes"),
             _non_negative_int(limits, "max-body-bytes"),
@@ -227,11 +267,9 @@
 def _decode_route(route: dict) -> serving.Route:
     # "gather" lists shards, "backends" weighted alternatives; "service" names a
     # single back end and overrides "backends".
-    shards = list(route.get("gather") or [])
+    shards = _texts(route, "gather")
     backends = [
-        serving.WeightedBackend(
-            _text(target, "service"), float(_number(target, "weight"))
-        )
+        _decode_weighted_backend(_mapping(target, "a back end"))
         for target in route.get("backends") or []
     ]
     if route.get("service"):
@@ -260,7 +298,13 @@
         # Minimum share of the shards, not of one shard's records.
         float(_number(route, "min-part-share", 1)),
         # Regions of the searchers, not of the callers; empty allows all.
-        list(route.get("allowed-regions") or []),
+        _texts(route, "allowed-regions"),
+    )
+
+
+def _decode_weighted_backend(target: dict) -> serving.WeightedBackend:
+    return serving.WeightedBackend(
+        _text(target, "service"), float(_number(target, "weight"))
     )
 
 
@@ -268,7 +312,7 @@
     warmup_s = _number(backend, "warmup-s", 0)
     return serving.RouteBackend(
         _text(backend, "name"),
-        backend.get("health-path", ""),
+        _text(backend, "health-path") if backend.get("health-path") else "",
         # Connections to one searcher from all daemons, not from each.
         max(1, _non_negative_int(backend, "max-connections", 16)),
         int(warmup_s * clocks.MS_PER_S),
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,6 +9,7 @@
 from citrondoor import errors
 from citrondoor import links
 from citrondoor.codecs import http1
+from citrondoor.codecs import peers
 from citrondoor.platform import _store
 from citrondoor.schema import serving
 
@@ -158,7 +159,7 @@
 ARBITRARY_VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
-    | strategies.integers(-(2**40), 2**40)
+    | strategies.integers(-(2**70), 2**70)
     | strategies.floats()
     | strategies.text(max_size=5),
     lambda inner: strategies.lists(inner, max_size=2),
@@ -170,6 +171,9 @@
     strategies.sampled_from(sorted(REGISTRATION)),
     ARBITRARY_VALUES | strategies.just("absent"),
 )
+@hypothesis.example("capacity", 2**40)
+@hypothesis.example("warmup-left-ms", 1e300)
+@hypothesis.example("born", 2**63)
 def test_a_registration_with_any_field_value_is_decoded_or_rejected(
     name, value
 ):
@@ -184,6 +188,66 @@
         return
     assert isinstance(upstream.capacity, int)
     assert 0 < upstream.port < 65536
+    # One entry that cannot be sent would keep all peers from the view.
+    peers.encode(serving.UpstreamNews("i-1", 1, upstream))
+
+
+CONFIG_PARTS = {
+    "config": lambda part: CONFIG | part,
+    "route": lambda part: CONFIG | {"routes": [ROUTE | part]},
+    "service": lambda part: (
+        CONFIG | {"services": [CONFIG["services"][0] | part]}
+    ),
+    "limits": lambda part: CONFIG | {"limits": CONFIG["limits"] | part},
+}
+CONFIG_FIELDS = [
+    *(("config", name) for name in CONFIG),
+    *(("route", name) for name in ROUTE),
+    ("route", "service"),
+    ("route", "backends"),
+    ("route", "allowed-regions"),
+    *(("service", name) for name in CONFIG["services"][0]),
+    *(("limits", name) for name in CONFIG["limits"]),
+]
+
+
+@hypothesis.given(
+    strategies.sampled_from(CONFIG_FIELDS),
+    ARBITRARY_VALUES
+    | strategies.dictionaries(strategies.text(), strategies.integers()),
+)
+def test_a_configuration_with_any_field_value_is_decoded_or_rejected(
+    field, value
+):
+    part, name = field
+    try:
+        route_set = _store.decode_routes(CONFIG_PARTS[part]({name: value}))
+    except (KeyError, TypeError, ValueError):
+        return
+    peers.encode(route_set)
+
+
+@pytest.mark.parametrize("upstream_id", ["", "a\r\nx-evil: 1", "a b", "\u00e9"])
+def test_an_id_that_does_not_fit_a_header_names_no_searcher(upstream_id):
+    with pytest.raises(ValueError, match="printable"):
+        _store.decode_upstream(upstream_id, REGISTRATION)
+
+
+def test_a_host_name_names_no_searcher():
+    with pytest.raises(ValueError, match="IP:PORT"):
+        _store.decode_upstream(
+            "i-1", REGISTRATION | {"address": "x\x00.example:9000"}
+        )
+
+
+def test_a_malformed_configuration_leaves_the_searchers_readable():
+    broken = CONFIG | {"routes": ["no object"]}
+    fake = FakeStore(
+        [item("op/config", broken), item("servers/i-1", REGISTRATION)]
+    )
+    contents, unreadable = read(fake)
+    assert [upstream.id for upstream in contents.upstreams] == ["i-1"]
+    assert unreadable == ["op/config"]
 
 
 @pytest.mark.parametrize(
