Answer requests that arrive while the server stops listening

Cause: closing the listening socket reset the connections that the kernel had queued, and connections whose request was still on its way were closed. The time limit of a head applied to each of its parts, so that a head could be sent for ever. An unexpected error in a handler closed the connection without an answer. Change: queued connections are accepted before the socket is closed, connections without a request stay open for another 300 ms, a head has one time limit, and unexpected errors are answered with status 500, which promises nothing.

--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+import http
 import socket
 import struct
 import typing
@@ -24,11 +25,15 @@
 # Complete requests that may be queued on one connection; with more, the server
 # stops reading from it.
 MAX_PIPELINED_REQUESTS = 16
+# Once the server no longer listens, a connection without a request stays open
+# for this long: its caller may have connected or sent a request just before.
+LATE_REQUEST_MS = 300
 # Type and byte offset of `tcpi_rtt` (microseconds) in Linux's
 # `struct tcp_info`.
 _TCP_INFO_RTT = struct.Struct("I")
 _TCP_INFO_RTT_OFFSET = 68
 _US_PER_MS = 1000
+_INTERNAL_ERROR = http.HTTPStatus.INTERNAL_SERVER_ERROR.value
 
 
 class Handler(typing.Protocol):
@@ -53,9 +58,10 @@
 
     __slots__ = (
         "_error",
-        "_is_stopping",
+        "_head_began_at",
         "_reader",
         "_requests",
+        "_stop_at",
         "_wake_future",
         "_writable",
         "disconnected",
@@ -70,7 +76,9 @@
         self._wake_future: asyncio.Future | None = None
         self._writable: asyncio.Future | None = None
         self._error: http1.ProtocolError | None = None
-        self._is_stopping = False
+        # Times of the event loop in seconds, or None.
+        self._head_began_at: float | None = None
+        self._stop_at: float | None = None
         self.disconnected = asyncio.get_running_loop().create_future()
         self.transport: asyncio.Transport | None = None
         on_open(self)
@@ -87,6 +95,10 @@
             self._requests.extend(self._reader.feed(data))
         except http1.ProtocolError as error:
             self._error = error
+        if not self._reader.is_in_head:
+            self._head_began_at = None
+        elif self._head_began_at is None:
+            self._head_began_at = asyncio.get_running_loop().time()
         if len(self._requests) > MAX_PIPELINED_REQUESTS:
             self.transport.pause_reading()
         if self._reader.expects_continue and self._reader.is_in_body:
@@ -117,8 +129,8 @@
 
         Args:
           idle_timeout_ms: Time limit for the first bytes of the request.
-          request_timeout_ms: Time limit, while it is incomplete, for more bytes
-            of the request.
+          request_timeout_ms: Time limit for the whole head, and for each
+            further part of the body.
 
         Raises:
           http1.ProtocolError: The request is malformed, over a limit or
@@ -129,11 +141,9 @@
                 raise self._error
             if self.disconnected.done():
                 return None
-            if self._is_stopping and not self.has_partial_request:
-                return None
             was_partial = self.has_partial_request
-            timeout_ms = request_timeout_ms if was_partial else idle_timeout_ms
-            if not await self._wait(timeout_ms):
+            timeout_s = self._remaining_s(idle_timeout_ms, request_timeout_ms)
+            if timeout_s <= 0 or not await self._wait(timeout_s):
                 if self._requests:
                     break
                 if was_partial or self.has_partial_request:
@@ -142,10 +152,25 @@
         self.transport.resume_reading()
         return self._requests.popleft()
 
-    async def _wait(self, timeout_ms: int) -> bool:
+    def _remaining_s(
+        self, idle_timeout_ms: int, request_timeout_ms: int
+    ) -> float:
+        """Returns how long to wait for more bytes, in seconds."""
+        now = asyncio.get_running_loop().time()
+        if self.has_partial_request:
+            timeout_s = request_timeout_ms / clocks.MS_PER_S
+            if self._head_began_at is None:
+                return timeout_s
+            return self._head_began_at + timeout_s - now
+        timeout_s = idle_timeout_ms / clocks.MS_PER_S
+        if self._stop_at is None:
+            return timeout_s
+        return min(timeout_s, self._stop_at - now)
+
+    async def _wait(self, timeout_s: float) -> bool:
         self._wake_future = asyncio.get_running_loop().create_future()
         try:
-            async with asyncio.timeout(timeout_ms / clocks.MS_PER_S):
+            async with asyncio.timeout(timeout_s):
                 await self._wake_future
         except TimeoutError:
             return False
@@ -171,9 +196,14 @@
             self.disconnected.set_result(None)
         self._wake()
 
-    def finish(self) -> None:
-        """Closes the connection after the requests that have already begun."""
-        self._is_stopping = True
+    def finish(self, linger_ms: int) -> None:
+        """Closes the connection after the requests that have begun.
+
+        Args:
+          linger_ms: Time in which another request may still begin.
+        """
+        now = asyncio.get_running_loop().time()
+        self._stop_at = now + linger_ms / clocks.MS_PER_S
         self._wake()
 
     def _wake(self) -> None:
@@ -188,6 +218,9 @@
       handler: Produces the responses.
       get_limits: Returns the active limits, or None before any are known;
         `DEFAULT_LIMITS` apply then.
+      on_error: Called with each unexpected exception of the handler. The
+        request is answered with status 500, which does not say whether it has
+        run.
     """
 
     __slots__ = (
@@ -195,6 +228,8 @@
         "_get_limits",
         "_handler",
         "_is_draining",
+        "_listener",
+        "_on_error",
         "_server",
         "_tasks",
         "active_requests",
@@ -204,10 +239,13 @@
         self,
         handler: Handler,
         get_limits: Callable[[], serving.CallerLimits | None] = lambda: None,
+        on_error: Callable[[Exception], None] = lambda error: None,
     ):
         self._handler = handler
         self._get_limits = get_limits
+        self._on_error = on_error
         self._server: asyncio.Server | None = None
+        self._listener: socket.socket | None = None
         self._channels: set[_Channel] = set()
         self._tasks: set[asyncio.Task] = set()
         self._is_draining = False
@@ -216,18 +254,14 @@
     @property
     def port(self) -> int:
         """TCP port on which the server listens."""
-        return self._server.sockets[0].getsockname()[1]
+        return self._listener.getsockname()[1]
 
     async def start(self, host: str, port: int) -> None:
         """Starts to listen; port 0 selects a free port."""
         loop = asyncio.get_running_loop()
+        self._listener = socket.create_server((host, port), backlog=BACKLOG)
         self._server = await loop.create_server(
-            lambda: _Channel(
-                self._get_limits() or DEFAULT_LIMITS, self._on_open
-            ),
-            host,
-            port,
-            backlog=BACKLOG,
+            self._make_channel, sock=self._listener, backlog=BACKLOG
         )
 
     def begin_drain(self) -> None:
@@ -239,23 +273,43 @@
         self._is_draining = True
 
     async def close(self, timeout_ms: int) -> None:
-        """Stops listening, closes idle connections and waits for the others.
+        """Stops listening, and closes connections after their requests.
 
-        Requests that have begun to arrive are still answered.
+        Requests that have begun to arrive are still answered, and those that
+        begin within `LATE_REQUEST_MS`.
 
         Args:
           timeout_ms: Longest wait; connections that are still busy after it are
             not aborted.
         """
         self._is_draining = True
+        await self._accept_queued()
         self._server.close()
         for channel in list(self._channels):
-            channel.finish()
+            channel.finish(min(LATE_REQUEST_MS, timeout_ms))
         if self._tasks:
             await asyncio.wait(
                 list(self._tasks), timeout=timeout_ms / clocks.MS_PER_S
             )
 
+    async def _accept_queued(self) -> None:
+        """Accepts the connections that the kernel has queued.
+
+        The kernel resets those that are queued when the listening socket is
+        closed, although their callers may have sent a request.
+        """
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                # None is queued, or no further one can be opened.
+                return
+            await loop.connect_accepted_socket(self._make_channel, connection)
+
+    def _make_channel(self) -> _Channel:
+        return _Channel(self._get_limits() or DEFAULT_LIMITS, self._on_open)
+
     def _on_open(self, channel: _Channel) -> None:
         task = asyncio.create_task(self._serve(channel))
         self._channels.add(channel)
@@ -292,6 +346,9 @@
         self.active_requests += 1
         try:
             response = await self._handler.handle(request, channel.disconnected)
+        except Exception as error:  # noqa: BLE001
+            self._on_error(error)
+            response = http1.Response(_INTERNAL_ERROR, [], b"")
         finally:
             self.active_requests -= 1
         if response is None or channel.transport.is_closing():
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -33,9 +33,13 @@
         return http1.Response(error.status, [], b"")
 
 
-async def start(handler) -> links.HttpServer:
-    server = links.HttpServer(handler, lambda: LIMITS)
+STARTED_SERVERS: list[links.HttpServer] = []
+
+
+async def start(handler, on_error=lambda error: None) -> links.HttpServer:
+    server = links.HttpServer(handler, lambda: LIMITS, on_error)
     await server.start("127.0.0.1", 0)
+    STARTED_SERVERS.append(server)
     return server
 
 
@@ -54,7 +58,14 @@
 
 
 def run(coroutine):
-    return asyncio.run(coroutine)
+    async def run_and_close():
+        try:
+            return await coroutine
+        finally:
+            while STARTED_SERVERS:
+                await STARTED_SERVERS.pop().close(100)
+
+    return asyncio.run(run_and_close())
 
 
 def test_a_request_in_progress_is_answered_when_the_server_closes():
@@ -190,3 +201,72 @@
     (request,) = run(body())
     # The round trip over loopback takes some microseconds, rounded up to 1 ms.
     assert 1 <= request.round_trip_ms <= 50
+
+
+def test_an_unexpected_error_of_the_handler_is_answered():
+    class FailingHandler(EchoHandler):
+        async def handle(self, request, disconnected):
+            if request.path == "/fail":
+                raise KeyError("unexpected")
+            return await super().handle(request, disconnected)
+
+    async def body():
+        errors = []
+        server = await start(FailingHandler(), errors.append)
+        reader, writer = await connect(server)
+        writer.write(GET.replace(b"/a", b"/fail") + GET)
+        await asyncio.sleep(0.05)
+        answer = await reader.read(65536)
+        writer.close()
+        return answer, errors
+
+    answer, errors = run(body())
+    assert answer.startswith(b"HTTP/1.1 500 ")
+    assert b"HTTP/1.1 200 OK" in answer
+    assert [type(error) for error in errors] == [KeyError]
+
+
+def test_a_head_that_never_ends_is_refused_after_its_time_limit():
+    # Each byte arrives well within the time limit of the whole head.
+    async def body():
+        server = await start(EchoHandler())
+        reader, writer = await connect(server)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        answer = asyncio.create_task(reader.read(65536))
+        for byte in GET[:-4] + b"a" * 100:
+            if answer.done():
+                break
+            writer.write(bytes((byte,)))
+            await asyncio.sleep(0.02)
+        writer.close()
+        return await answer, loop.time() - started_at
+
+    answer, elapsed_s = run(body())
+    assert answer.startswith(b"HTTP/1.1 408 ")
+    assert elapsed_s < 2 * LIMITS.header_timeout_ms / 1000
+
+
+def test_requests_that_arrive_as_the_server_closes_are_answered():
+    # A connection whose request is still on its way, or still in the queue of
+    # the listening socket, when the server stops listening.
+    async def body():
+        server = await start(EchoHandler(pause_s=0.02))
+        connections = [await connect(server) for _ in range(20)]
+        server.begin_drain()
+        late = [asyncio.create_task(exchange(server, GET)) for _ in range(20)]
+        # One step: the kernel has their connections, the server does not.
+        await asyncio.sleep(0)
+        closing = asyncio.create_task(server.close(1000))
+        await asyncio.sleep(0)
+        for _, writer in connections:
+            writer.write(GET)
+        answers = [await reader.read(65536) for reader, _ in connections]
+        answers += await asyncio.gather(*late, return_exceptions=True)
+        await closing
+        return answers
+
+    for answer in run(body()):
+        assert isinstance(answer, ConnectionRefusedError) or answer.startswith(
+            b"HTTP/1.1 200 "
+        ), answer
