Keep links to peers up after a message that cannot be handled

Cause: an exception other than the expected ones ended the task of a link, which was never dialled again, or the task that sends heartbeats; one such request ended all others on the link. Change: what a notification or reply causes is logged and ends only its exchange. Result: two tests that failed before (tests/links/test_peers.py).

--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -395,10 +395,16 @@
             # `_on_event` handles the loss of a link. `Members.tick` suspects a
             # neighbour that stays silent on an open one.
             return
+        except Exception as error:  # noqa: BLE001
+            # One reply that cannot be applied must not end the heartbeats.
+            self._log.write_rate_limited(
+                "heartbeat_failed", peer=link.name, error=repr(error)
+            )
 
     async def _apply_reply(
         self, heartbeat: messages.EntryBeat, link: links.PeerLink, sent_at: int
     ) -> None:
+        _check_type(heartbeat, messages.EntryBeat, link.name)
         self._apply_heartbeat(heartbeat, link.name)
         # The peer computed the age after `sent_at`, so the read took place at
         # this time or later.
@@ -407,6 +413,7 @@
             request = serving.ViewRequest(self._view.stamp)
             reply = await link.request(envelopes.wrap(request))
             updates = envelopes.unwrap(reply)
+            _check_type(updates, serving.ViewNews, link.name)
             self._view.apply_updates(updates, link.name, self._clock.now())
         stamp = self._view.stamp
         if stamp.upstream_revision >= heartbeat.stamp.upstream_revision:
@@ -443,11 +450,7 @@
         if isinstance(message, serving.ViewRequest):
             updates = self._view.updates_after(message.known, self._clock.now())
             return envelopes.wrap(updates)
-        if not isinstance(message, messages.EntryBeat):
-            raise errors.FrameError(
-                f"{sender!r} asked {type(message).__name__}, which an entry"
-                " daemon does not answer; run compatible versions"
-            )
+        _check_type(message, messages.EntryBeat, sender)
         self._apply_heartbeat(message, sender)
         reply = self._make_heartbeat(False)
         if message.joining:
@@ -487,7 +490,13 @@
             self._members.suspect_unreachable(name, self._clock.now())
 
     def _on_notification(self, sender: str, body: messages.Body) -> None:
-        self._notification_handlers(envelopes.unwrap(body), sender)
+        try:
+            self._notification_handlers(envelopes.unwrap(body), sender)
+        except Exception as error:  # noqa: BLE001
+            # One notification that cannot be handled must not end the link.
+            self._log.write_rate_limited(
+                "note_failed", sender=sender, error=repr(error)
+            )
 
     def _ignore_notification(self, message, sender: str) -> None:
         self._log.write(
@@ -499,6 +508,15 @@
         self._log.write("peer_refused", count=self.protocol_error_count)
 
 
+def _check_type(message, expected: type, sender: str) -> None:
+    """Raises `errors.FrameError` for a message of another type."""
+    if not isinstance(message, expected):
+        raise errors.FrameError(
+            f"{sender!r} sent {type(message).__name__} where an entry daemon"
+            f" expects {expected.__name__}; run compatible versions"
+        )
+
+
 def _is_newer(one: serving.ViewStamp, other: serving.ViewStamp) -> bool:
     return (
         one.route_version > other.route_version
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -313,7 +313,11 @@
                 delay_ms = REDIAL_DELAY_MS
                 await self._receive()
             except (OSError, EOFError, TimeoutError, errors.CitrondoorError):
+                # `_disconnect` reports the loss of the link.
                 pass
+            except Exception as error:  # noqa: BLE001
+                # Whatever a peer sends must not end the task that redials.
+                self._on_state_change("link_failed", f"{self.name}: {error!r}")
             finally:
                 self._disconnect()
             await asyncio.sleep(delay_ms / clocks.MS_PER_S)
@@ -374,7 +378,8 @@
       settings: Settings that all links share.
       handler: Takes the sender's name and a request; returns the reply.
       on_protocol_error: Called once for each connection closed because of a
-        failed authentication, a malformed frame or a timeout.
+        failed authentication, a malformed frame or a timeout, and for each
+        request on which the handler failed unexpectedly.
       on_notification: Called with the sender's name and each notification.
     """
 
@@ -451,10 +456,11 @@
                     reader, writer, self._settings, is_dialer=False
                 )
             await self._serve_channel(channel)
-        except* (errors.FrameError, errors.PeerRefusedError, TimeoutError):
-            self._on_protocol_error()
         except* (OSError, EOFError):
             pass
+        except* Exception:
+            # Includes `TimeoutError`s of the handshake's time limit.
+            self._on_protocol_error()
         finally:
             writer.transport.abort()
 
@@ -488,6 +494,11 @@
             body = await self._handler(channel.hello.vm, envelope.body)
         except errors.CitrondoorError as error:
             body = messages.Body(refused=messages.Refused(str(error)))
+        except Exception as error:  # noqa: BLE001
+            # One message that cannot be handled must not end the link, which
+            # carries other requests.
+            self._on_protocol_error()
+            body = messages.Body(refused=messages.Refused(repr(error)))
         channel.send(messages.Envelope(0, envelope.id, body))
         self.bytes_sent += channel.bytes_sent
         channel.bytes_sent = 0
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -15,6 +15,8 @@
 
 
 async def increment_revision(sender: str, body: messages.Body) -> messages.Body:
+    if body.config_request is not None:
+        raise KeyError("unexpected")
     if body.config_advert is None:
         raise errors.PeerRefusedError("only adverts")
     revision = body.config_advert.revision + 1
@@ -43,7 +45,9 @@
         await self.server.start("127.0.0.1", 0)
         self.port = self.server.port
 
-    def dial(self, key: bytes = KEY, name: str = "vm-1") -> links.PeerLink:
+    def dial(
+        self, key: bytes = KEY, name: str = "vm-1", on_notification=None
+    ) -> links.PeerLink:
         link = links.PeerLink(
             name,
             "127.0.0.1",
@@ -51,6 +55,7 @@
             make_settings("vm-0", key),
             asyncio.open_connection,
             self.on_state_change,
+            on_notification,
         )
         link.start()
         return link
@@ -139,6 +144,45 @@
     run(scenario)
 
 
+def test_a_request_that_cannot_be_handled_leaves_its_link_up():
+    async def scenario(pair):
+        link = pair.dial()
+        await pair.link_up.wait()
+        pending = asyncio.create_task(link.request(make_advert(6)))
+        with pytest.raises(errors.PeerRefusedError, match="unexpected"):
+            await link.request(
+                messages.Body(config_request=messages.ConfigRequest(1))
+            )
+        assert (await pending).config_advert.revision == 7
+        assert link.is_connected
+        link.close()
+
+    run(scenario)
+
+
+def test_a_link_is_dialled_again_after_a_notification_that_fails():
+    # An error that ends the link's task would leave the peer unreachable until
+    # one of the two daemons restarts.
+    received = []
+
+    def on_notification(name, body):
+        received.append(body)
+        if len(received) == 1:
+            raise KeyError("unexpected")
+
+    async def scenario(pair):
+        link = pair.dial(on_notification=on_notification)
+        for count in (1, 2):
+            async with asyncio.timeout(2):
+                while not pair.server.notify("vm-0", make_advert(1)):
+                    await asyncio.sleep(0.01)
+                while len(received) < count:
+                    await asyncio.sleep(0.01)
+        link.close()
+
+    run(scenario)
+
+
 def test_repeated_frame_fails_authentication():
     sender, receiver = (
         codec.FrameAuthenticator(b"k"),
