Bound what searchers send that is no answer

Cause: the size of a response's head, of interim heads, chunk extensions and trailers was not limited: one header of 100 MB took 42 s of CPU and 213 MB. Bodies had a limit of 16 MB each, but none for all connections together. A complete answer was lost if malformed bytes followed it in the same segment. A second copy of an answer that arrived after a connection was assigned and before the request was written, or that bore no id, was taken for the next answer. An unexpected error in a part of the daemon stopped the process. Change: 64 KB for what is not the body, plus 8 bytes for each of its bytes; an eighth of the VM's memory (new setting memory_mb) for all partial bodies, beyond which the connection that holds the most is closed; one log line and a counter each. Connections are checked again before the request is written; a response without an id that has the stamp of the one before is not an answer.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -27,10 +27,13 @@
         b"upgrade",
     )
 )
-# Limits only the number of headers, to one for each 64 bytes: 1,024 headers.
-# The size of a head is not checked.
+# Bytes of one response that are not part of its body: heads, interim responses,
+# and what surrounds the chunks.
 MAX_RESPONSE_HEAD_BYTES = 65_536
 MAX_RESPONSE_BODY_BYTES = 16_777_216
+# Further bytes of this kind for each byte of the body; a chunk of one byte has
+# 5 bytes around it, and some senders pad the chunk's length with zeros.
+_FRAMING_PER_BODY_BYTE = 8
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 Headers = list[tuple[bytes, bytes]]
@@ -130,6 +133,44 @@
         return None
 
 
+class _FramingMeter:
+    """Limits the bytes of a message that are not part of its body.
+
+    A peer can send these without end, in a head, in interim responses, in chunk
+    extensions or in trailers, and none of the parser's limits applies.
+
+    Args:
+      max_bytes: Limit for a message without a body.
+    """
+
+    __slots__ = ("_body_bytes", "_framing_bytes", "_max_bytes")
+
+    def __init__(self, max_bytes: int):
+        self._max_bytes = max_bytes
+        self._framing_bytes = 0
+        self._body_bytes = 0
+
+    @property
+    def is_over_limit(self) -> bool:
+        """Whether the message has too many bytes for its body."""
+        allowed = self._max_bytes + _FRAMING_PER_BODY_BYTE * self._body_bytes
+        return self._framing_bytes > allowed
+
+    def record_received(self, byte_count: int) -> None:
+        """Records received bytes, before it is known what they are."""
+        self._framing_bytes += byte_count
+
+    def record_body(self, byte_count: int) -> None:
+        """Records that received bytes were part of the body."""
+        self._framing_bytes = max(0, self._framing_bytes - byte_count)
+        self._body_bytes += byte_count
+
+    def reset(self) -> None:
+        """Starts with the next message."""
+        self._framing_bytes = 0
+        self._body_bytes = 0
+
+
 class RequestReader:
     """Parses the requests in the byte stream of a caller's connection.
 
@@ -153,6 +194,7 @@
         "_head_bytes",
         "_headers",
         "_max_bytes",
+        "_meter",
         "_parser",
         "_requests",
         "_target",
@@ -164,6 +206,8 @@
     def __init__(self, max_head_bytes: int, max_body_bytes: int):
         # Of the head and of the body, in this order.
         self._max_bytes = (max_head_bytes, max_body_bytes)
+        # Of what follows the head; the head has its own limit.
+        self._meter = _FramingMeter(max_head_bytes)
         self._parser = httptools.HttpRequestParser(self)
         self._requests: list[Request] = []
         self._error: ProtocolError | None = None
@@ -188,6 +232,8 @@
         if not self.is_in_body:
             self.is_in_head = True
             self._head_bytes += len(data)
+        else:
+            self._meter.record_received(len(data))
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -196,6 +242,12 @@
             raise self._error or ProtocolError(400, str(error)) from error
         if self.is_in_head and self._head_bytes > self._max_bytes[0]:
             raise ProtocolError(431, f"a head over {self._max_bytes[0]} bytes")
+        if self._meter.is_over_limit:
+            raise ProtocolError(
+                431,
+                f"over {self._max_bytes[0]} bytes of chunk extensions or"
+                " trailers",
+            )
         requests, self._requests = self._requests, []
         return requests
 
@@ -209,6 +261,7 @@
 
     def on_headers_complete(self) -> None:
         """Checks a complete head against the limits; called by the parser."""
+        self._meter.reset()
         self.is_in_head = False
         self.is_in_body = True
         length = 0
@@ -225,6 +278,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Adds a part of the body; called by the parser."""
+        self._meter.record_body(len(data))
         self._body_bytes += len(data)
         if self._body_bytes > self._max_bytes[1]:
             self._reject(413, f"a body over {self._max_bytes[1]} bytes")
@@ -241,6 +295,7 @@
                 self._parser.should_keep_alive(),
             )
         )
+        self._meter.reset()
         self._reset()
 
     def _reject(self, status: int, detail: str) -> None:
@@ -249,21 +304,31 @@
 
 
 class ResponseReader:
-    """Parses the responses in the byte stream of a searcher's connection."""
+    """Parses the responses in the byte stream of a searcher's connection.
+
+    Args:
+      max_body_bytes: Maximum size of a body.
+    """
 
     __slots__ = (
         "_body",
         "_body_bytes",
+        "_error",
         "_headers",
         "_is_self_delimited",
+        "_max_body_bytes",
+        "_meter",
         "_parser",
         "_responses",
         "_status",
     )
 
-    def __init__(self):
+    def __init__(self, max_body_bytes: int = MAX_RESPONSE_BODY_BYTES):
+        self._max_body_bytes = max_body_bytes
+        self._meter = _FramingMeter(MAX_RESPONSE_HEAD_BYTES)
         self._parser = httptools.HttpResponseParser(self)
         self._responses: list[Response] = []
+        self._error: ProtocolError | None = None
         self._status = 0
         self._headers: Headers = []
         self._body: list[bytes] = []
@@ -275,16 +340,35 @@
         """Whether no response is partly received; ignores a partial head."""
         return not self._status
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the body of the response that is partly received."""
+        return self._body_bytes
+
     def feed(self, data: bytes) -> list[Response]:
         """Parses bytes and returns the responses that they complete.
 
         Raises:
           ProtocolError: The bytes are not a response, or exceed a limit.
+            `take_responses` returns those that were complete before.
         """
+        self._meter.record_received(len(data))
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise ProtocolError(502, "an upgrade of the protocol") from None
         except httptools.HttpParserError as error:
-            raise ProtocolError(502, str(error)) from error
+            raise self._error or ProtocolError(502, str(error)) from error
+        if self._meter.is_over_limit:
+            raise ProtocolError(
+                502,
+                f"over {MAX_RESPONSE_HEAD_BYTES} bytes of heads, chunk"
+                " extensions or trailers",
+            )
+        return self.take_responses()
+
+    def take_responses(self) -> list[Response]:
+        """Returns the complete responses that `feed` has not returned."""
         responses, self._responses = self._responses, []
         return responses
 
@@ -303,13 +387,16 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; called by the parser."""
         self._headers.append((name.lower(), value))
-        if len(self._headers) > MAX_RESPONSE_HEAD_BYTES // 64:
-            raise httptools.HttpParserError("too many headers")
 
     def on_headers_complete(self) -> None:
         """Reads the status and how the body ends; called by the parser."""
         self._status = self._parser.get_status_code()
-        names = {name for name, _ in self._headers}
+        names = set()
+        for name, value in self._headers:
+            names.add(name)
+            # The parser has checked that it is a number.
+            if name == b"content-length" and int(value) > self._max_body_bytes:
+                self._reject_body()
         self._is_self_delimited = (
             b"content-length" in names
             or b"transfer-encoding" in names
@@ -319,9 +406,10 @@
 
     def on_body(self, data: bytes) -> None:
         """Adds a part of the body; called by the parser."""
+        self._meter.record_body(len(data))
         self._body_bytes += len(data)
-        if self._body_bytes > MAX_RESPONSE_BODY_BYTES:
-            raise httptools.HttpParserError("the body is too long")
+        if self._body_bytes > self._max_body_bytes:
+            self._reject_body()
         self._body.append(data)
 
     def on_message_complete(self) -> None:
@@ -329,11 +417,18 @@
         response = Response(self._status, self._headers, b"".join(self._body))
         if self._status >= http.HTTPStatus.OK:
             self._responses.append(response)
+            self._meter.reset()
         self._status = 0
         self._headers = []
         self._body = []
         self._body_bytes = 0
 
+    def _reject_body(self) -> None:
+        self._error = ProtocolError(
+            502, f"a body over {self._max_body_bytes} bytes"
+        )
+        raise self._error
+
 
 def encode_request(
     method: bytes, target: bytes, headers: Headers, body: bytes
--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -149,6 +149,7 @@
         yield "dial_failures", "Not opened.", lambda: pool.dial_failures
         yield "broken", "Broken exchanges.", lambda: pool.lost_in_flight
         yield "aborts", "Withdrawn exchanges.", lambda: pool.aborts
+        yield "malformed", "Misbehaving searchers.", lambda: pool.malformed
         yield "foreign", "Answers to others.", lambda: pool.unmatched
         yield "store_reads", "Readings of the store.", lambda: poller.read_count
         yield "store_failures", "That failed.", lambda: poller.failure_count
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import typing
+from collections.abc import Callable
 
 from citrondoor import addresses
 from citrondoor import clock as clocks
@@ -20,6 +21,7 @@
 from citrondoor.daemon import _lifecycle
 from citrondoor.daemon import _settings
 from citrondoor.daemon import _settings_watch
+from citrondoor.daemon import _supervisor
 from citrondoor.schema import messages
 from citrondoor.schema import serving
 
@@ -204,7 +206,9 @@
             self._clock,
             self._peers.daemons_by_zone(self._clock.now()),
             self._dispatcher.on_unreachable,
+            self._dispatcher.on_malformed,
             self._settings.zone,
+            self._settings.memory_mb,
         )
         self._dispatcher.set_pool(self._pool)
         self._relay = entry.Relay(
@@ -230,6 +234,7 @@
                 self._metrics.record_answer,
             ),
             self._caller_limits,
+            self._on_request_error,
         )
         self._readiness_server = links.HttpServer(
             self._adapter.make_readiness_handler(lambda: self._is_ready)
@@ -257,7 +262,7 @@
         )
         self._handle_signals()
         self._lifecycle.join()
-        self._start_task(self._poller.run())
+        self._start_part("store_poller", self._poller.run)
         await self._peers.start()
         await self._caller_server.start(
             *addresses.split_address(settings.front)
@@ -269,11 +274,13 @@
             *addresses.split_address(settings.directory)
         )
         self._peers.announce_endpoint(self._endpoint(is_ready=False))
-        self._start_task(self._tick_forever())
-        self._start_task(self._summarize_forever())
-        self._start_task(self._watch_settings())
+        self._start_part("tick", self._tick_forever)
+        self._start_part("summary", self._summarize_forever)
+        self._start_part("settings_watch", self._watch_settings)
         await self._join()
-        self._start_task(self._metrics.start(self._poller, self._peers))
+        self._start_part(
+            "metrics", lambda: self._metrics.start(self._poller, self._peers)
+        )
         await self._stopping.wait()
         await self._leave()
 
@@ -373,6 +380,9 @@
     def _on_bad_request(self, refusal: messages.Refusal) -> None:
         self._log.write_rate_limited("bad_request", detail=refusal.detail)
 
+    def _on_request_error(self, error: Exception) -> None:
+        self._log.write_rate_limited("request_error", error=repr(error))
+
     def _on_unreadable(self, key: str, revision: int, reason: str) -> None:
         self._log.write(
             "value_unreadable", key=key, revision=revision, reason=reason
@@ -400,15 +410,21 @@
             await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S)
             self._settings_watch.check()
 
-    def _start_task(self, coroutine) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._on_task_end)
+    def _start_part(self, name: str, run: Callable) -> None:
+        """Starts a task that all requests depend on.
+
+        Args:
+          name: Name for the log.
+          run: Coroutine function of the task.
+        """
+        supervisor = _supervisor.Supervisor(name, self._clock, self._log)
+        task = asyncio.create_task(supervisor.run(run))
+        task.add_done_callback(self._on_part_end)
         self._tasks.append(task)
 
-    def _on_task_end(self, task: asyncio.Task) -> None:
+    def _on_part_end(self, task: asyncio.Task) -> None:
         if task.cancelled() or task.exception() is None:
             return
         # Shuts down: without its tick or its store poller, for example, the
         # daemon would go on serving with an outdated view.
-        self._log.write("part_failed", error=repr(task.exception()))
         self._stopping.set()
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -179,6 +179,21 @@
                 blocked_ms=replica.blocked_until - now,
             )
 
+    def on_malformed(
+        self, upstream: serving.Upstream, error: Exception
+    ) -> None:
+        """Logs that a connection was closed because of a searcher's bytes.
+
+        The result of the exchange on it, if any, is recorded like other
+        failures.
+        """
+        self._log.write_rate_limited(
+            "searcher_malformed",
+            searcher=upstream.id,
+            backend=upstream.backend,
+            reason=f"{type(error).__name__}: {error}",
+        )
+
     def on_view_changed(self) -> None:
         """Discards the state kept for searchers that are no longer usable."""
         self._replicas.retain_only(
@@ -223,9 +238,13 @@
             )
         backends = routes.choose_backends(route.target, self._rng)
         running = self._prepare(request, route, backends)
-        status = await self._run_fanout(running, disconnected)
-        running.is_finished = True
-        self._cancel_sends([send.token for send in running.fanout.pending()])
+        try:
+            status = await self._run_fanout(running, disconnected)
+        finally:
+            running.is_finished = True
+            self._cancel_sends(
+                [send.token for send in running.fanout.pending()]
+            )
         if status is None:
             return None
         answer = _answers.compose_answer(route.target, running, status)
--- a/citrondoor/limits/__init__.py
+++ b/citrondoor/limits/__init__.py
@@ -2,6 +2,7 @@
 
 from citrondoor.limits._concurrency import ConcurrencyLimiter
 from citrondoor.limits._concurrency import OfferResult
+from citrondoor.limits._held_bytes import HeldBytesLimiter
 from citrondoor.limits._leases import Borrower
 from citrondoor.limits._leases import Lender
 from citrondoor.limits._rates import STARTUP_LEASE_WAIT_MS
@@ -19,6 +20,7 @@
     "Borrower",
     "ConcurrencyLimiter",
     "CustomerRateLimiter",
+    "HeldBytesLimiter",
     "Lender",
     "OfferResult",
     "OwnerShares",
--- a/citrondoor/links/_exchanges.py
+++ b/citrondoor/links/_exchanges.py
@@ -136,6 +136,16 @@
         """
 
     def decode(
-        self, outbound: OutboundRequest, response: http1.Response
+        self,
+        outbound: OutboundRequest,
+        response: http1.Response,
+        last_stamp: bytes = b"",
     ) -> ExchangeResult:
-        """Returns the result of a request according to its response."""
+        """Returns the result of a request according to its response.
+
+        Args:
+          outbound: The request.
+          response: The next response on its connection.
+          last_stamp: Stamp of the previous response on the connection, which
+            the searcher may repeat; empty if there is none.
+        """
--- a/citrondoor/links/_http_pool.py
+++ b/citrondoor/links/_http_pool.py
@@ -2,6 +2,7 @@
 
 from citrondoor import clock as clocks
 from citrondoor import fanout
+from citrondoor import limits
 from citrondoor.links import _exchanges
 from citrondoor.links import _http_searcher
 from citrondoor.schema import serving
@@ -14,6 +15,9 @@
 # Connections that a searcher accepts from all daemons together, if its back end
 # is not declared.
 DEFAULT_MAX_CONNECTIONS = 16
+# Part of the VM's memory for partly received responses of all searchers.
+RESPONSE_MEMORY_SHARE = 0.125
+_BYTES_PER_MB = 1_000_000
 
 
 class HttpPool:
@@ -25,7 +29,10 @@
       daemons_by_zone: Initial number of daemons in each zone, which share the
         connections that a searcher accepts.
       on_unreachable: Called with the searcher when a connection attempt fails.
+      on_malformed: Called with the searcher and the error when a connection is
+        closed because of what the searcher sent.
       zone: Availability zone of this daemon.
+      memory_mb: Memory of the VM in MB, of which responses may use a part.
     """
 
     __slots__ = (
@@ -33,8 +40,10 @@
         "_clock",
         "_codec",
         "_daemons_by_zone",
+        "_held_bytes_limiter",
         "_links",
         "_links_by_token",
+        "_on_malformed",
         "_on_unreachable",
         "_shard_backends",
         "_zone",
@@ -47,7 +56,9 @@
         clock: clocks.Clock,
         daemons_by_zone: dict[str, int],
         on_unreachable,
+        on_malformed,
         zone: str,
+        memory_mb: int,
     ):
         self._zone = zone
         self._codec = codec
@@ -56,6 +67,10 @@
         self._backends: dict[str, serving.RouteBackend] = {}
         self._shard_backends: frozenset[str] = frozenset()
         self._on_unreachable = on_unreachable
+        self._on_malformed = on_malformed
+        self._held_bytes_limiter = limits.HeldBytesLimiter(
+            int(memory_mb * _BYTES_PER_MB * RESPONSE_MEMORY_SHARE)
+        )
         self._links: dict[tuple, _http_searcher.HttpSearcherLink] = {}
         self._links_by_token: dict[int, _http_searcher.HttpSearcherLink] = {}
         self.counters = _http_searcher.HttpCounters()
@@ -154,6 +169,8 @@
             self._clock,
             self.counters,
             self._on_unreachable,
+            self._on_malformed,
+            self._held_bytes_limiter,
         )
         self._links[_link_key(upstream)] = link
         return link
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -8,6 +8,7 @@
 import socket
 
 from citrondoor import clock as clocks
+from citrondoor import limits
 from citrondoor.codecs import http1
 from citrondoor.links import _exchanges
 from citrondoor.schema import serving
@@ -39,6 +40,8 @@
       connects: Connections that were opened.
       dial_failures: Connections that could not be opened.
       unmatched: Responses that belong to another request.
+      malformed: Connections closed because the searcher sent bytes that are no
+        response, or too many.
       lost_in_flight: Exchanges whose connection ended after the request was
         sent and before a complete response, those in `aborts` included.
       aborts: Connections closed because a cancelled exchange had no response
@@ -50,6 +53,7 @@
         "connects",
         "dial_failures",
         "lost_in_flight",
+        "malformed",
         "unmatched",
     )
 
@@ -57,16 +61,31 @@
         self.connects = 0
         self.dial_failures = 0
         self.unmatched = 0
+        self.malformed = 0
         self.lost_in_flight = 0
         self.aborts = 0
 
 
 class _Channel(asyncio.Protocol):
-    """Parses a searcher's responses and wakes the task that awaits them."""
+    """Parses a searcher's responses and wakes the task that awaits them.
 
-    __slots__ = ("_error", "_reader", "_responses", "_wake_future", "transport")
+    Args:
+      held_bytes_limiter: Limits what all channels hold of partial responses.
+    """
 
-    def __init__(self):
+    __slots__ = (
+        "_error",
+        "_held_bytes",
+        "_held_bytes_limiter",
+        "_reader",
+        "_responses",
+        "_wake_future",
+        "transport",
+    )
+
+    def __init__(self, held_bytes_limiter: limits.HeldBytesLimiter):
+        self._held_bytes_limiter = held_bytes_limiter
+        self._held_bytes = 0
         self._reader = http1.ResponseReader()
         self._responses: collections.deque[http1.Response] = collections.deque()
         self._wake_future: asyncio.Future | None = None
@@ -96,12 +115,38 @@
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; called by the event loop."""
+        if self._error is not None:
+            return
         try:
             self._responses.extend(self._reader.feed(data))
         except http1.ProtocolError as error:
-            self._error = error
+            # A response that was complete before the malformed bytes counts.
+            self._responses.extend(self._reader.take_responses())
+            self.fail(error)
+            return
+        if self._reader.held_bytes != self._held_bytes:
+            self._record_held(self._reader.held_bytes)
         self.wake()
 
+    def fail(self, error: http1.ProtocolError) -> None:
+        """Closes the connection at once; `next_response` raises the error."""
+        self._error = self._error or error
+        self._record_held(0)
+        self.transport.abort()
+        self.wake()
+
+    def _record_held(self, held_bytes: int) -> None:
+        self._held_bytes = held_bytes
+        largest = self._held_bytes_limiter.record_held(self, held_bytes)
+        if largest is not None:
+            largest.fail(
+                http1.ProtocolError(
+                    502,
+                    "the partial responses of all searchers need too much"
+                    " memory, and this one the most",
+                )
+            )
+
     def eof_received(self) -> None:
         """Completes a response without a length; called by the event loop."""
         response = self._reader.finish()
@@ -115,6 +160,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the pending `next_response`; called by the event loop."""
         self._error = self._error or exc or EOFError("the connection is closed")
+        self._record_held(0)
         self.wake()
 
     async def next_response(self) -> http1.Response:
@@ -151,6 +197,7 @@
 
     __slots__ = (
         "_channel",
+        "_last_stamp",
         "_link",
         "_task",
         "exchange",
@@ -162,7 +209,8 @@
 
     def __init__(self, link: "HttpSearcherLink"):
         self._link = link
-        self._channel = _Channel()
+        self._channel = _Channel(link.held_bytes_limiter)
+        self._last_stamp = b""
         self._task: asyncio.Task | None = None
         self.exchange: _exchanges.Exchange | None = None
         self.was_sent = False
@@ -201,9 +249,12 @@
             await self._open()
             while await self._serve_one():
                 pass
-        except (OSError, EOFError, TimeoutError, http1.ProtocolError):
+        except (OSError, EOFError, TimeoutError):
             # `on_closed` ends the exchange and counts the failure.
             pass
+        except Exception as error:  # noqa: BLE001
+            # Whatever a searcher causes ends its connection, nothing else.
+            self._link.on_malformed(error)
         finally:
             self.abort_transport()
             self._link.on_closed(self)
@@ -231,13 +282,19 @@
         if self.exchange is None and not await self._wait_idle():
             return False
         exchange = self.exchange
+        if not self._channel.is_usable:
+            # Bytes arrived or the connection failed after the exchange was
+            # assigned. It ends as unsent, or on another connection.
+            self._link.requeue(self)
+            return False
         self._channel.transport.write(self._link.encode(exchange))
         self.was_sent = True
         while True:
             response = await self._channel.next_response()
-            result = self._link.decode(exchange, response)
+            result = self._link.decode(exchange, response, self._last_stamp)
             if result.outcome != _exchanges.ExchangeOutcome.FOREIGN:
                 break
+        self._last_stamp = result.stamp
         self.exchange = None
         self.replace_on_close = True
         exchange.deliver(exchange.token, result)
@@ -270,6 +327,9 @@
       clock: Clock of the daemon.
       counters: Counts of the daemon, updated by this link.
       on_unreachable: Called with the searcher when a connection attempt fails.
+      on_malformed: Called with the searcher and the error when a connection is
+        closed because of what the searcher sent.
+      held_bytes_limiter: Limits what all links hold of partial responses.
     """
 
     __slots__ = (
@@ -278,8 +338,10 @@
         "_connections",
         "_counters",
         "_idle",
+        "_on_malformed",
         "_on_unreachable",
         "_queued",
+        "held_bytes_limiter",
         "max_connections",
         "upstream",
     )
@@ -292,9 +354,13 @@
         clock: clocks.Clock,
         counters: HttpCounters,
         on_unreachable,
+        on_malformed,
+        held_bytes_limiter: limits.HeldBytesLimiter,
     ):
         self.upstream = upstream
         self.max_connections = max_connections
+        self.held_bytes_limiter = held_bytes_limiter
+        self._on_malformed = on_malformed
         self._codec = codec
         self._clock = clock
         self._counters = counters
@@ -388,13 +454,21 @@
         )
 
     def decode(
-        self, exchange: _exchanges.Exchange, response: http1.Response
+        self,
+        exchange: _exchanges.Exchange,
+        response: http1.Response,
+        last_stamp: bytes,
     ) -> _exchanges.ExchangeResult:
         """Returns the result of an exchange according to a response.
 
         Responses to other requests are counted.
+
+        Args:
+          exchange: The pending exchange.
+          response: The next response on its connection.
+          last_stamp: Stamp of the previous response on the connection.
         """
-        result = self._codec.decode(exchange.outbound, response)
+        result = self._codec.decode(exchange.outbound, response, last_stamp)
         if result.outcome == _exchanges.ExchangeOutcome.FOREIGN:
             self._counters.unmatched += 1
         return result
@@ -405,6 +479,19 @@
         if self._queued:
             connection.exchange = self._queued.popleft()
 
+    def requeue(self, connection: _Connection) -> None:
+        """Queues the exchange of a connection that has not sent it.
+
+        `on_closed` then serves it on another connection or ends it as unsent.
+        """
+        self._queued.appendleft(connection.exchange)
+        connection.exchange = None
+
+    def on_malformed(self, error: Exception) -> None:
+        """Counts and reports a connection on which the searcher misbehaved."""
+        self._counters.malformed += 1
+        self._on_malformed(self.upstream, error)
+
     def on_connect_failed(self) -> None:
         """Counts and reports a failed attempt to open a connection."""
         self._counters.dial_failures += 1
--- a/citrondoor/platform/_searcher_codec.py
+++ b/citrondoor/platform/_searcher_codec.py
@@ -41,9 +41,18 @@
         )
 
     def decode(
-        self, outbound: links.OutboundRequest, response: http1.Response
+        self,
+        outbound: links.OutboundRequest,
+        response: http1.Response,
+        last_stamp: bytes = b"",
     ) -> links.ExchangeResult:
-        """Returns the result of a request from its response."""
+        """Returns the result of a request from its response.
+
+        Args:
+          outbound: The request.
+          response: The next response on its connection.
+          last_stamp: Stamp of the previous response on the connection.
+        """
         # The first value of each header counts.
         headers = {}
         for name, value in response.headers:
@@ -52,6 +61,10 @@
             outbound.request_id
         ):
             return links.ExchangeResult(links.ExchangeOutcome.FOREIGN)
+        stamp = headers.get(_headers.STAMP, b"")
+        if _headers.REQUEST_ID not in headers and stamp == last_stamp != b"":
+            # A second copy of the previous response. Stamps are unique.
+            return links.ExchangeResult(links.ExchangeOutcome.FOREIGN)
         cold_ms = _parse_ms(headers.get(_headers.WARMUP_REMAINING))
         is_misdirected = response.status == http.HTTPStatus.MISDIRECTED_REQUEST
         if _headers.NOT_RUN in headers or is_misdirected:
@@ -61,7 +74,6 @@
                 cold_ms=cold_ms,
                 is_misdirected=is_misdirected,
             )
-        stamp = headers.get(_headers.STAMP, b"")
         if response.status in _SUCCESS_STATUSES and stamp:
             return links.ExchangeResult(
                 links.ExchangeOutcome.ANSWERED, response, stamp, cold_ms
--- a/schema/serving.thrift
+++ b/schema/serving.thrift
@@ -103,6 +103,10 @@
   3: required list<UpstreamNews> upstreams
   // Zones that get no requests; set if the requester's list is older.
   4: optional list<string> evacuated
+  // Store revision after which the sender knows all removals of searchers. If
+  // the requester's view is older, a removal may be missing. Unset by daemons of
+  // older versions.
+  5: optional i64 removals_known_after
 }
 
 // Endpoint of a daemon.
@@ -161,9 +165,12 @@
   // Shared key of the peer links, hexadecimal; empty for no authentication.
   12: string peer_key = ""
   13: list<ZoneRegion> zones = []
+  // Memory of the VM in MB; limits what is held of partly received responses.
+  14: i32 memory_mb = 256
 }
 
 const map<string, declarations.Range> RANGES = {
+  "EntrySettings.memory_mb": {"low": 32, "high": 1048576},
   "StoreSettings.timeout_ms": {"low": 10, "high": 60000},
   "StoreSettings.poll_ms": {"low": 50, "high": 60000},
   "StoreSettings.readers": {"low": 1, "high": 100},
--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -86,3 +86,124 @@
     response = http1.Response(200, [(b"keep-alive", b"timeout=5, max=9")], b"")
     assert http1.keep_alive_ms(response) == 5000
     assert http1.keep_alive_ms(http1.Response(200, [], b"")) is None
+
+
+PIECE = 65_536
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+ENDLESS_RESPONSES = {
+    "header value": (b"HTTP/1.1 200 OK\r\nx-a: ", b"a" * PIECE),
+    "header name": (b"HTTP/1.1 200 OK\r\nx", b"a" * PIECE),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"x-a: 1\r\n" * 8192),
+    "reason phrase": (b"HTTP/1.1 200 ", b"a" * PIECE),
+    "interim heads": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 2500),
+    "empty lines": (b"", b"\r\n" * 32_768),
+    "chunk extension": (CHUNKED + b"1;", b"a" * PIECE),
+    "chunk length": (CHUNKED, b"0" * PIECE),
+    "trailers": (CHUNKED + b"0\r\n", b"x-a: 1\r\n" * 8192),
+    "trailer value": (CHUNKED + b"0\r\nx-a: ", b"a" * PIECE),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS_RESPONSES)
+def test_bytes_without_end_that_are_no_body_are_a_protocol_error(name):
+    start, piece = ENDLESS_RESPONSES[name]
+    reader = http1.ResponseReader()
+    with pytest.raises(http1.ProtocolError):
+        reader.feed(start)
+        for _ in range(1 + http1.MAX_RESPONSE_HEAD_BYTES // PIECE + 1):
+            assert reader.feed(piece) == []
+
+
+def test_a_body_without_end_is_a_protocol_error_at_the_limit():
+    reader = http1.ResponseReader(max_body_bytes=4 * PIECE)
+    reader.feed(b"HTTP/1.1 200 OK\r\n\r\n")
+    for _ in range(4):
+        reader.feed(b"a" * PIECE)
+    assert reader.held_bytes == 4 * PIECE
+    with pytest.raises(http1.ProtocolError):
+        reader.feed(b"a")
+
+
+def test_a_declared_body_over_the_limit_is_refused_before_it_arrives():
+    reader = http1.ResponseReader(max_body_bytes=PIECE)
+    with pytest.raises(http1.ProtocolError):
+        reader.feed(b"HTTP/1.1 200 OK\r\ncontent-length: 65537\r\n\r\n")
+
+
+def test_a_body_in_small_chunks_is_within_the_limits():
+    body = b"abcdefgh" * 20_000
+    reader = http1.ResponseReader()
+    data = CHUNKED + b"".join(
+        b"1\r\n%b\r\n" % body[n : n + 1] for n in range(len(body))
+    )
+    (response,) = reader.feed(data + b"0\r\n\r\n")
+    assert response.body == body
+    assert reader.held_bytes == 0
+
+
+def test_a_long_connection_does_not_add_up_to_a_limit():
+    reader = http1.ResponseReader()
+    data = http1.encode_response(
+        http1.Response(200, [(b"x-a", b"1" * 1000)], b"b"), True
+    )
+    for _ in range(200):
+        (response,) = reader.feed(data)
+        assert response.body == b"b"
+
+
+def test_a_response_before_malformed_bytes_is_not_lost():
+    reader = http1.ResponseReader()
+    data = http1.encode_response(http1.Response(200, [], b"whole"), True)
+    with pytest.raises(http1.ProtocolError):
+        reader.feed(data + b"\x07 rubbish")
+    (response,) = reader.take_responses()
+    assert response.body == b"whole"
+
+
+ENDLESS_REQUESTS = {
+    "target": (b"GET /", b"a" * 500),
+    "header value": (b"GET / HTTP/1.1\r\nx-a: ", b"a" * 500),
+    "chunk extension": (
+        b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n1;",
+        b"a" * 500,
+    ),
+    "trailers": (
+        b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n0\r\n",
+        b"x-a: 1\r\n" * 60,
+    ),
+    "empty lines": (b"", b"\r\n" * 250),
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS_REQUESTS)
+def test_bytes_without_end_of_a_caller_are_a_protocol_error(name):
+    start, piece = ENDLESS_REQUESTS[name]
+    reader = http1.RequestReader(2000, 2000)
+    with pytest.raises(http1.ProtocolError) as caught:
+        reader.feed(start)
+        for _ in range(6):
+            assert reader.feed(piece) == []
+    assert caught.value.status == 431
+
+
+@hypothesis.given(
+    BODIES,
+    strategies.integers(0, 150),
+    strategies.binary(max_size=6),
+    strategies.integers(1, 50),
+)
+def test_corrupted_responses_give_responses_or_a_protocol_error(
+    body, position, inserted, chunk_bytes
+):
+    whole = http1.encode_response(http1.Response(200, [], body), True) * 3
+    data = whole[:position] + inserted + whole[position + 1 :]
+    reader = http1.ResponseReader()
+    responses = []
+    try:
+        for start in range(0, len(data), chunk_bytes):
+            responses += reader.feed(data[start : start + chunk_bytes])
+    except http1.ProtocolError:
+        responses += reader.take_responses()
+    finished = reader.finish()
+    assert len(responses) <= 3 + len(inserted) // 2
+    assert finished is None or finished.status
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -1,4 +1,8 @@
 import asyncio
+import time
+import tracemalloc
+
+import pytest
 
 from citrondoor import clock as clocks
 from citrondoor import links
@@ -11,6 +15,20 @@
 ANSWER_HEAD = b"HTTP/1.1 200 OK\r\nx-server-stamp: s\r\nx-request-id: %b\r\n"
 
 
+STARTED_SERVERS: list[asyncio.Server] = []
+
+
+def run_and_close(coroutine):
+    async def body():
+        try:
+            return await coroutine
+        finally:
+            while STARTED_SERVERS:
+                STARTED_SERVERS.pop().close()
+
+    return asyncio.run(body())
+
+
 class Searcher:
     """A server that handles each request as the test defines.
 
@@ -26,6 +44,7 @@
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        STARTED_SERVERS.append(self.server)
         port = self.server.sockets[0].getsockname()[1]
         return samples.upstream(port=port)
 
@@ -52,25 +71,28 @@
 class PoolHarness:
     """A pool with one searcher, and the results of its exchanges."""
 
-    def __init__(self, searcher, upstream, daemon_count=1, cap=40):
+    def __init__(self, searcher, upstream, daemon_count=1, memory_mb=256):
         self.searcher = searcher
         self.upstream = upstream
         self.unreachable = []
+        self.malformed = []
         self.results: dict[int, asyncio.Future] = {}
         self.pool = links.HttpPool(
             _searcher_codec.PlatformSearcherCodec(),
             clocks.Clock(),
             {"a": daemon_count},
             self.unreachable.append,
+            lambda upstream, error: self.malformed.append(str(error)),
             "a",
+            memory_mb,
         )
 
-    def send(self, token, is_idempotent=True):
+    def send(self, token, is_idempotent=True, target=b"/a"):
         clock = clocks.Clock()
         outbound = links.OutboundRequest(
             b"r%d" % token,
             b"GET",
-            b"/a",
+            target,
             [(b"host", b"h")],
             b"",
             clock.now() + 2000,
@@ -88,18 +110,19 @@
         self.results[token].set_result(result)
 
 
-def run(behave, body):
+def run(behave, body, memory_mb=256):
     async def run_body():
         searcher = Searcher(behave)
-        harness = PoolHarness(searcher, await searcher.start())
+        harness = PoolHarness(
+            searcher, await searcher.start(), memory_mb=memory_mb
+        )
         try:
             async with asyncio.timeout(5):
                 return await body(harness)
         finally:
             harness.pool.close()
-            searcher.server.close()
 
-    return asyncio.run(run_body())
+    return run_and_close(run_body())
 
 
 async def answer(request, writer):
@@ -338,7 +361,7 @@
         assert searcher.connections == 2
         harness.pool.close()
 
-    asyncio.run(body())
+    run_and_close(body())
 
 
 def test_a_non_idempotent_request_gets_a_new_connection_at_the_limit():
@@ -364,7 +387,7 @@
             assert searcher.connections == token + 1
         harness.pool.close()
 
-    asyncio.run(body())
+    run_and_close(body())
 
 
 def test_a_queued_request_gets_a_new_connection_when_the_only_one_closes():
@@ -388,4 +411,170 @@
         assert searcher.connections == 2
         harness.pool.close()
 
-    asyncio.run(body())
+    run_and_close(body())
+
+
+PIECE = b"a" * 65_536
+ENDLESS_HEADS = {
+    "no HTTP": b"rubbish ",
+    "header value": b"HTTP/1.1 200 OK\r\nx-a: ",
+    "chunk extension": (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;"
+    ),
+    "body": b"HTTP/1.1 200 OK\r\nx-server-stamp: s\r\n\r\n",
+}
+
+
+@pytest.mark.parametrize("name", ENDLESS_HEADS)
+def test_bytes_without_end_close_the_connection_and_delay_nobody(name):
+    # One searcher sends until the caller closes; others must not be affected.
+    sent_bytes = 0
+
+    async def behave(request, writer):
+        nonlocal sent_bytes
+        if request.path != "/endless":
+            writer.write(encode_answer(request))
+            return
+        writer.write(ENDLESS_HEADS[name])
+        while not writer.transport.is_closing():
+            writer.write(PIECE)
+            sent_bytes += len(PIECE)
+            await writer.drain()
+
+    async def body(harness):
+        harness.upstream = await Searcher(behave).start()
+        others = harness.upstream
+        endless = samples.upstream("i-2", port=others.port)
+        await harness.send(1)
+        started_cpu_s = time.process_time()
+        harness.upstream = endless
+        result = harness.send(2, target=b"/endless")
+        harness.upstream = others
+        latencies_s = []
+        for token in range(3, 1000):
+            started_at = time.monotonic()
+            assert (await harness.send(token)).outcome == OUTCOME.ANSWERED
+            latencies_s.append(time.monotonic() - started_at)
+            if result.done():
+                break
+        assert (await result).outcome == OUTCOME.BROKEN
+        (reason,) = harness.malformed
+        assert harness.pool.counters.malformed == 1
+        return max(latencies_s), time.process_time() - started_cpu_s
+
+    tracemalloc.start()
+    latency_s, cpu_s = run(answer, body)
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    # A body may fill its own limit, and is joined once at most.
+    assert sent_bytes <= 2 * http1.MAX_RESPONSE_BODY_BYTES
+    assert peak_bytes <= 4 * http1.MAX_RESPONSE_BODY_BYTES
+    # The shortest deadline of a caller on the users' deployments.
+    assert latency_s < 0.3
+    assert cpu_s < 2
+
+
+def test_endless_bodies_share_the_memory_that_responses_may_use():
+    # 4 MB for all responses: without a common limit, 10 bodies of up to 16 MB.
+    memory_mb = 32
+
+    async def behave(request, writer):
+        if request.path != "/endless":
+            writer.write(encode_answer(request, b"x" * 100_000))
+            return
+        writer.write(ENDLESS_HEADS["body"])
+        while not writer.transport.is_closing():
+            writer.write(PIECE)
+            await writer.drain()
+
+    async def body(harness):
+        results = [harness.send(n, target=b"/endless") for n in range(10)]
+        harness.upstream = samples.upstream("i-2", port=harness.upstream.port)
+        for token in range(10, 30):
+            result = await harness.send(token)
+            assert result.outcome == OUTCOME.ANSWERED
+            assert len(result.response.body) == 100_000
+        outcomes = [(await result).outcome for result in results]
+        assert set(outcomes) == {OUTCOME.BROKEN}
+        return harness.pool._held_bytes_limiter.total_bytes
+
+    tracemalloc.start()
+    assert run(behave, body, memory_mb) == 0
+    _, peak_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    # Besides the 4 MB: the stand-in's buffers and the segments being read.
+    assert peak_bytes < 16_000_000
+
+
+def test_a_whole_answer_before_malformed_bytes_counts():
+    async def append_rubbish(request, writer):
+        writer.write(encode_answer(request, b"whole") + b"\x07 rubbish")
+
+    async def body(harness):
+        first = await harness.send(1, is_idempotent=False)
+        second = await harness.send(2, is_idempotent=False)
+        assert harness.searcher.connections == 2
+        return first, second
+
+    for result in run(append_rubbish, body):
+        assert result.outcome == OUTCOME.ANSWERED
+        assert result.response.body == b"whole"
+
+
+def encode_answer_without_id(stamp: bytes, body: bytes) -> bytes:
+    head = b"HTTP/1.1 200 OK\r\nx-server-stamp: %b\r\n" % stamp
+    return head + b"content-length: %d\r\n\r\n" % len(body) + body
+
+
+def test_a_second_copy_that_arrives_before_the_next_request_is_not_its_answer():
+    async def body(harness):
+        await harness.send(1)
+        (link,) = harness.pool._links.values()
+        (connection,) = link._idle
+        second = harness.send(2)
+        # The connection is assigned; its task has not written yet.
+        connection._channel.data_received(
+            encode_answer_without_id(b"late", b"late")
+        )
+        return await second
+
+    result = run(answer, body)
+    assert result.response.header_value(b"x-request-id") == b"r2"
+
+
+def test_a_late_second_copy_without_an_id_is_not_matched_to_the_next_request():
+    async def behave(request, writer):
+        (request_id,) = request.header_values(b"x-request-id")
+        if request_id == b"r1":
+            writer.write(encode_answer_without_id(b"s1", b"one"))
+        else:
+            writer.write(encode_answer_without_id(b"s1", b"one"))
+            await asyncio.sleep(0.02)
+            writer.write(encode_answer_without_id(b"s2", b"two"))
+
+    async def body(harness):
+        first = await harness.send(1)
+        second = await harness.send(2)
+        return first.response.body, second.response.body
+
+    assert run(behave, body) == (b"one", b"two")
+
+
+def test_an_error_in_decoding_ends_only_its_own_connection():
+    class BrokenCodec(_searcher_codec.PlatformSearcherCodec):
+        __slots__ = ()
+
+        def decode(self, outbound, response, last_stamp=b""):
+            if outbound.request_id == b"r1":
+                raise KeyError("unexpected")
+            return super().decode(outbound, response, last_stamp)
+
+    async def body(harness):
+        harness.pool._codec = BrokenCodec()
+        first = await harness.send(1)
+        second = await harness.send(2)
+        return first.outcome, second.outcome, harness.malformed
+
+    first, second, malformed = run(answer, body)
+    assert (first, second) == (OUTCOME.BROKEN, OUTCOME.ANSWERED)
+    assert malformed == ["'unexpected'"]
--- a/tests/links/test_platform.py
+++ b/tests/links/test_platform.py
@@ -34,6 +34,9 @@
                     self.second_arrived.set()
                     writer.write(encode_response(VM_LIST))
         except (EOFError, OSError):
+            # The client has closed the connection.
+            pass
+        finally:
             writer.close()
 
 
