Give out no more connections than a searcher accepts

Cause: one connection for each daemon of other zones came on top of the 60% for the daemons of the searcher's zone: 128 of 120 connections at 78 VMs. Change: the daemons of the zone share what remains after one for each of the others.

--- a/citrondoor/fanout/_connections.py
+++ b/citrondoor/fanout/_connections.py
@@ -11,7 +11,8 @@
 CONNECTION_SHARE = 0.85
 # Part of these for the daemons in the searcher's zone, which send what other
 # daemons delegate to them; the others use their own connections for hedges and
-# retries.
+# retries. Where the rest does not give each of the others one, they get one
+# each and the daemons of the zone share what remains.
 SAME_ZONE_SHARE = 0.6
 
 
@@ -33,17 +34,17 @@
         behalf of daemons of other zones.
 
     Returns:
-      The limit, 1 or more even if there are more daemons than connections.
+      The limit, 1 or more even if there are more daemons than connections; the
+      limits of all daemons add up to more than the searcher accepts only then.
     """
     daemon_count = max(1, sum(daemons_by_zone.values()))
-    share = 1.0
+    budget = int(max_connections * CONNECTION_SHARE)
     same_zone_count = daemons_by_zone.get(zone, 0)
-    if is_shard and 0 < same_zone_count < daemon_count:
-        is_same_zone = zone == own_zone
-        share = SAME_ZONE_SHARE if is_same_zone else 1.0 - SAME_ZONE_SHARE
-        daemon_count = (
-            same_zone_count if is_same_zone else daemon_count - same_zone_count
-        )
-    return max(
-        1, int(max_connections * CONNECTION_SHARE * share / daemon_count)
-    )
+    if not is_shard or not 0 < same_zone_count < daemon_count:
+        return max(1, budget // daemon_count)
+    other_count = daemon_count - same_zone_count
+    # At least one for each of the others, even if too little is left.
+    other_budget = max(other_count, int(budget * (1.0 - SAME_ZONE_SHARE)))
+    if zone != own_zone:
+        return other_budget // other_count
+    return max(1, (budget - other_budget) // same_zone_count)
