--- a/tests/fanout/test_connections.py
+++ b/tests/fanout/test_connections.py
@@ -66,8 +66,8 @@
 def test_views_that_differ_by_one_daemon_stay_within_what_is_accepted(
     daemons_by_zone, zone, changed_zone, change
 ):
-    # Some daemons do not know yet of one that came or left. In clusters of fewer
-    # VMs the share of one is larger than the reserve.
+    # Some daemons do not know yet of one that came or left. In smaller clusters
+    # the share of one daemon is larger than the reserve.
     changed = dict(daemons_by_zone)
     changed[changed_zone] = max(0, changed.get(changed_zone, 0) + change)
     worst = sum(
