Don't count changes as complete if removals may be missing

Cause: a removed searcher is remembered for a minute, and a daemon that has just started knows of no removal before. A daemon that was cut off for longer, or that asked one that had just started, took their changes for all of them: a searcher that had left stayed in use until the daemon read the store itself, which those that are up to date do not. Change: changes say after which revision no removal is missing. A daemon that is further behind applies them, but keeps its revision, and so asks other peers, reads the store after 1.7 s, or takes the whole view after 2.5 s. Removals are passed on by daemons that never knew the searcher.

--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -39,9 +39,11 @@
     """
 
     __slots__ = (
+        "_behind_since",
         "_evacuated",
         "_listener",
         "_records",
+        "_removals_known_after",
         "_revision",
         "_store_recovered_at",
         "_usable_by_backend",
@@ -55,6 +57,9 @@
         self._evacuated: frozenset[str] = frozenset()
         self._store_recovered_at: int | None = None
         self._revision = -1
+        # Removals up to this revision may be missing from `changes_after`.
+        self._removals_known_after = -1
+        self._behind_since: int | None = None
         self._version = 0
 
     @property
@@ -62,6 +67,20 @@
         """Store revision up to which every change is known; -1 at first."""
         return self._revision
 
+    @property
+    def removals_known_after(self) -> int:
+        """Store revision after which all removals of searchers are known.
+
+        Changes after an older revision are incomplete: tombstones are kept for
+        a while only, and a daemon that has just started has none.
+        """
+        return self._removals_known_after
+
+    @property
+    def behind_since(self) -> int | None:
+        """Clock time of the first incomplete update since a complete one."""
+        return self._behind_since
+
     @property
     def version(self) -> int:
         """Grows with each change that may affect the usable searchers."""
@@ -141,13 +160,33 @@
             for upstream_id, record in self._records.items():
                 if record.upstream is not None and upstream_id not in listed:
                     self._remove(upstream_id, record, revision, now)
-            self._revision = revision
+            if self._revision < 0:
+                self._removals_known_after = revision
+            self._advance(revision)
         self._drop_old_tombstones(now)
 
     def apply_updates(
-        self, updates: list[serving.UpstreamNews], revision: int, now: int
+        self,
+        updates: list[serving.UpstreamNews],
+        revision: int,
+        now: int,
+        removals_known_after: int = -1,
+        is_whole: bool = False,
     ) -> None:
-        """Applies a peer's changes, which are complete up to a revision."""
+        """Applies a peer's changes.
+
+        If a removal may be missing from them, the known revision stays
+        unchanged, so that the daemon asks other peers or the store: otherwise a
+        searcher that left while this daemon was cut off would be used for ever.
+
+        Args:
+          updates: The changes; whole entries and removals.
+          revision: Store revision up to which they are complete.
+          now: Clock time in ms.
+          removals_known_after: Store revision after which no removal is
+            missing.
+          is_whole: Whether these are all searchers that the peer knows.
+        """
         for update in updates:
             record = self._records.get(update.id)
             known = -1 if record is None else record.changed_at_revision
@@ -155,9 +194,45 @@
                 continue
             if update.upstream is not None:
                 self._apply_entry(update.upstream, update.revision, now)
-            elif record is not None and record.upstream is not None:
-                self._remove(update.id, record, update.revision, now)
-        self._revision = max(self._revision, revision)
+            else:
+                self._apply_removal(update, record, now)
+        if is_whole:
+            self._remove_unlisted({u.id for u in updates}, revision, now)
+        elif 0 <= self._revision < removals_known_after:
+            if self._behind_since is None:
+                self._behind_since = now
+            return
+        if self._revision < 0 or is_whole:
+            self._removals_known_after = removals_known_after
+        self._advance(max(self._revision, revision))
+
+    def _apply_removal(
+        self, update: serving.UpstreamNews, record: _Record | None, now: int
+    ) -> None:
+        if record is not None and record.upstream is not None:
+            self._remove(update.id, record, update.revision, now)
+            return
+        # Another daemon may know a searcher that this one never knew, and may
+        # learn from this one that it is gone.
+        tombstone = _Record(None, update.revision)
+        tombstone.removed_at = now
+        self._records[update.id] = tombstone
+
+    def _advance(self, revision: int) -> None:
+        self._revision = revision
+        self._behind_since = None
+
+    def _remove_unlisted(
+        self, listed: set[str], revision: int, now: int
+    ) -> None:
+        """Removes searchers that were gone at a revision of the store."""
+        for upstream_id, record in self._records.items():
+            if (
+                record.upstream is not None
+                and upstream_id not in listed
+                and record.changed_at_revision <= revision
+            ):
+                self._remove(upstream_id, record, revision, now)
 
     def changes_after(
         self, revision: int, now: int
@@ -241,7 +316,10 @@
             and now - record.removed_at > TOMBSTONE_MS
         ]
         for upstream_id in old:
-            del self._records[upstream_id]
+            record = self._records.pop(upstream_id)
+            self._removals_known_after = max(
+                self._removals_known_after, record.changed_at_revision
+            )
 
     def _on_usable_changed(self) -> None:
         self._usable_by_backend = None
--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -410,11 +410,18 @@
         # this time or later.
         read_at = sent_at - heartbeat.store_age_ms
         if _is_newer(heartbeat.stamp, self._view.stamp):
-            request = serving.ViewRequest(self._view.stamp)
+            is_whole = self._view.needs_whole(self._clock.now())
+            request = (
+                self._view.whole_request()
+                if is_whole
+                else serving.ViewRequest(self._view.stamp)
+            )
             reply = await link.request(envelopes.wrap(request))
             updates = envelopes.unwrap(reply)
             _check_type(updates, serving.ViewNews, link.name)
-            self._view.apply_updates(updates, link.name, self._clock.now())
+            self._view.apply_updates(
+                updates, link.name, self._clock.now(), is_whole
+            )
         stamp = self._view.stamp
         if stamp.upstream_revision >= heartbeat.stamp.upstream_revision:
             self.record_store_read(read_at)
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -6,6 +6,10 @@
 from citrondoor import routes
 from citrondoor.schema import serving
 
+# A daemon whose changes are incomplete for this long requests the whole view;
+# a daemon reads the store itself after 1.7 s, which is cheaper.
+WHOLE_AFTER_MS = 2500
+
 
 class LocalView:
     """Merges store contents and peers' updates; the newest version wins.
@@ -50,6 +54,20 @@
             self.evacuated_zones.revision,
         )
 
+    def needs_whole(self, now: int) -> bool:
+        """Returns whether to request all searchers, as no peer has the changes.
+
+        Before that, another peer or a read of the store mostly has them.
+        """
+        behind_since = self.registry.behind_since
+        return behind_since is not None and now - behind_since >= WHOLE_AFTER_MS
+
+    def whole_request(self) -> serving.ViewRequest:
+        """Returns a request for all searchers that a peer knows."""
+        stamp = self.stamp
+        stamp.upstream_revision = -1
+        return serving.ViewRequest(stamp)
+
     def zones_of(self, regions: list[str]) -> set[str]:
         """Returns the availability zones in the given regions."""
         return {
@@ -75,9 +93,20 @@
         self._notify_if_changed(old_versions)
 
     def apply_updates(
-        self, updates: serving.ViewNews, sender: str, now: int
+        self,
+        updates: serving.ViewNews,
+        sender: str,
+        now: int,
+        is_whole: bool = False,
     ) -> None:
-        """Applies the changes that a peer sent; older ones have no effect."""
+        """Applies the changes that a peer sent; older ones have no effect.
+
+        Args:
+          updates: The changes.
+          sender: Name of the peer.
+          now: Clock reading.
+          is_whole: Whether they were requested with `whole_request`.
+        """
         old_versions = self._versions()
         if updates.routes is not None:
             self._offer_routes(updates.routes, sender)
@@ -86,7 +115,13 @@
                 updates.evacuated, updates.stamp.evacuation_revision, sender
             )
         self.registry.apply_updates(
-            updates.upstreams, updates.stamp.upstream_revision, now
+            updates.upstreams,
+            updates.stamp.upstream_revision,
+            now,
+            -1
+            if updates.removals_known_after is None
+            else updates.removals_known_after,
+            is_whole,
         )
         self._notify_if_changed(old_versions)
 
@@ -110,6 +145,7 @@
             table.route_set if table is not None and has_older_routes else None,
             self.registry.changes_after(known.upstream_revision, now),
             evacuated,
+            self.registry.removals_known_after,
         )
 
     def _offer_routes(self, route_set: serving.RouteSet, source: str) -> None:
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -105,3 +105,123 @@
             peer.apply_updates(updates, lister.revision, revision)
     assert sorted(usable_ids(peer)) == sorted(usable_ids(lister))
     assert peer.revision == lister.revision
+
+
+def pull(peer, source, now, is_whole=False):
+    """Gives a registry the changes of another one, as daemons exchange them."""
+    known = -1 if is_whole else peer.revision
+    peer.apply_updates(
+        source.changes_after(known, now),
+        source.revision,
+        now,
+        source.removals_known_after,
+        is_whole,
+    )
+
+
+def test_a_searcher_that_left_during_a_long_cut_is_not_used_again():
+    # The tombstone is gone when the daemon is back: its peer has forgotten that
+    # the searcher ever existed.
+    reader, _ = make_registry()
+    cut_off, _ = make_registry()
+    reader.apply_listing([samples.upstream("i-1")], 5, 0)
+    pull(cut_off, reader, 0)
+    reader.apply_listing([samples.upstream("i-2")], 6, 10)
+    back_at = 20 + _registry.TOMBSTONE_MS
+    reader.apply_listing([samples.upstream("i-2")], 7, back_at)
+    pull(cut_off, reader, back_at)
+    # It does not pretend to know the changes, so it asks others or the store.
+    assert cut_off.revision == 5
+    assert cut_off.behind_since == back_at
+    pull(cut_off, reader, back_at, is_whole=True)
+    assert usable_ids(cut_off) == ["i-2"]
+    assert (cut_off.revision, cut_off.behind_since) == (7, None)
+
+
+def test_a_restarted_daemon_does_not_hide_that_a_searcher_left():
+    # It has read the store after the searcher left, so it knows of no removal.
+    reader, _ = make_registry()
+    other, _ = make_registry()
+    reader.apply_listing([samples.upstream("i-1")], 5, 0)
+    pull(other, reader, 0)
+    restarted, _ = make_registry()
+    restarted.apply_listing([], 8, 10)
+    pull(other, restarted, 10)
+    assert other.revision == 5
+    reader.apply_listing([], 8, 10)
+    pull(other, reader, 20)
+    assert usable_ids(other) == []
+    assert (other.revision, other.behind_since) == (8, None)
+
+
+def test_a_restarted_daemon_passes_removals_on_that_it_has_received():
+    reader, _ = make_registry()
+    other, _ = make_registry()
+    restarted, _ = make_registry()
+    reader.apply_listing([samples.upstream("i-1")], 5, 0)
+    pull(other, reader, 0)
+    reader.apply_listing([], 6, 10)
+    pull(restarted, reader, 20)
+    pull(other, restarted, 30)
+    assert usable_ids(other) == []
+    assert other.revision == 6
+
+
+DAEMONS = strategies.integers(0, 3)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.one_of(
+            strategies.tuples(
+                strategies.just("list"),
+                DAEMONS,
+                strategies.sets(strategies.integers(0, 3)),
+            ),
+            strategies.tuples(
+                strategies.sampled_from(("pull", "whole")), DAEMONS, DAEMONS
+            ),
+            strategies.tuples(
+                strategies.just("restart"), DAEMONS, strategies.just(0)
+            ),
+            strategies.tuples(
+                strategies.just("wait"), DAEMONS, strategies.just(0)
+            ),
+        ),
+        max_size=25,
+    )
+)
+@hypothesis.example(
+    [
+        ("list", 0, {1}),
+        ("pull", 1, 0),
+        ("list", 0, {2}),
+        ("wait", 0, 0),
+        ("list", 0, {2}),
+        ("pull", 1, 0),
+    ]
+)
+def test_no_daemon_uses_a_searcher_that_left_before_its_revision(steps):
+    registries = [make_registry()[0] for _ in range(4)]
+    # Searchers in the store, by revision.
+    contents = [set()]
+    now = 0
+    for kind, first, second in steps:
+        now += 1
+        registry = registries[first]
+        if kind == "list":
+            contents.append(second)
+            upstreams = [samples.upstream(f"i-{n}") for n in sorted(second)]
+            registry.apply_listing(upstreams, len(contents) - 1, now)
+        elif kind == "restart":
+            registries[first] = make_registry()[0]
+        elif kind == "wait":
+            now += _registry.TOMBSTONE_MS
+            for other in registries:
+                other._drop_old_tombstones(now)
+        elif registries[second].revision > registry.revision:
+            pull(registry, registries[second], now, kind == "whole")
+        for other in registries:
+            since = max(0, other.revision)
+            listed = set().union(*contents[since:])
+            assert set(usable_ids(other)) <= {f"i-{n}" for n in listed}
