Bound what searchers of the own interface send that is no answer

Cause: the reader of the own interface's searchers had a limit for a body only. A head without end, chunk extensions without end and several bodies at once were held without limit; an answer was lost if malformed bytes followed it in one segment. Change: it uses the reader of codecs/http1.py with its limits. The new setting upstreams.response_memory_mb (64) bounds what all connections hold of partial responses; the connection that holds the most is closed and counted. Partial heads count as held, so the test of held_bytes now adds the head to what it expects.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -150,6 +150,11 @@
         self._framing_bytes = 0
         self._body_bytes = 0
 
+    @property
+    def framing_bytes(self) -> int:
+        """Bytes received of the message that are not part of its body."""
+        return self._framing_bytes
+
     @property
     def is_over_limit(self) -> bool:
         """Whether the message has too many bytes for its body."""
@@ -342,8 +347,8 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes of the body of the response that is partly received."""
-        return self._body_bytes
+        """Bytes of the response that is partly received."""
+        return self._body_bytes + self._meter.framing_bytes
 
     def feed(self, data: bytes) -> list[Response]:
         """Parses bytes and returns the responses that they complete.
--- a/citrondoor/codecs/upstreams.py
+++ b/citrondoor/codecs/upstreams.py
@@ -1,12 +1,10 @@
 """Requests to searchers and their responses: HTTP/1.1 with JSON bodies."""
 
-import httptools
 import orjson
 
+from citrondoor.codecs import http1
 from citrondoor.schema import messages
 
-MAX_RESPONSE_BODY_BYTES = 16_777_216
-
 _OUTCOME_BY_STATUS = {
     200: messages.SubOutcome.ANSWERED,
     409: messages.SubOutcome.SNAPSHOT_MISSING,
@@ -105,55 +103,46 @@
 
 
 class ResponseReader:
-    """Parses the responses in the byte stream of one connection."""
+    """Parses the responses in the byte stream of one connection.
+
+    The limits of `http1.ResponseReader` apply.
+    """
 
-    __slots__ = ("_body", "_body_bytes", "_parser", "_responses")
+    __slots__ = ("_reader",)
 
     def __init__(self):
-        self._parser = httptools.HttpResponseParser(self)
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._responses: list[Response] = []
+        self._reader = http1.ResponseReader()
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of the response that is partly received."""
+        return self._reader.held_bytes
 
     def feed(self, data: bytes) -> list[Response]:
         """Parses bytes and returns the responses that they complete.
 
         Raises:
-          ValueError: The bytes are not HTTP, or a body is too long.
+          http1.ProtocolError: The bytes are not a response, or exceed a limit.
+            `take_responses` returns those that were complete before.
         """
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError as error:
-            raise ValueError(str(error)) from error
-        responses = self._responses
-        self._responses = []
-        return responses
-
-    def on_body(self, data: bytes) -> None:
-        """Adds a part of the body; called by the parser."""
-        self._body_bytes += len(data)
-        if self._body_bytes > MAX_RESPONSE_BODY_BYTES:
-            raise httptools.HttpParserError("the body is too long")
-        self._body.append(data)
-
-    def on_message_complete(self) -> None:
-        """Ends a response; called by the parser."""
-        status = self._parser.get_status_code()
-        body = b"".join(self._body)
-        self._body = []
-        self._body_bytes = 0
-        self._responses.append(_decode_response(status, body))
-
-
-def _decode_response(status: int, body: bytes) -> Response:
+        return [_decode_response(parsed) for parsed in self._reader.feed(data)]
+
+    def take_responses(self) -> list[Response]:
+        """Returns the complete responses that `feed` has not returned."""
+        return [
+            _decode_response(parsed) for parsed in self._reader.take_responses()
+        ]
+
+
+def _decode_response(parsed: http1.Response) -> Response:
     try:
-        content = orjson.loads(body)
+        content = orjson.loads(parsed.body)
         attempt = content["id"]
     except (orjson.JSONDecodeError, KeyError, TypeError):
-        return Response(status, -1, {})
+        return Response(parsed.status, -1, {})
     if type(attempt) is not int:
-        return Response(status, -1, {})
-    return Response(status, attempt, content)
+        return Response(parsed.status, -1, {})
+    return Response(parsed.status, attempt, content)
 
 
 def decode_sub_answer(response: Response) -> messages.SubAnswer:
--- a/citrondoor/daemon/_counters.py
+++ b/citrondoor/daemon/_counters.py
@@ -65,6 +65,11 @@
             "Responses that matched no request.",
             lambda: upstream.unmatched,
         ),
+        Counter(
+            "upstream.malformed",
+            "Connections closed because of what searchers sent.",
+            lambda: upstream.malformed,
+        ),
         Counter(
             "upstream.connects",
             "Connections opened to searchers.",
--- a/citrondoor/links/_calls.py
+++ b/citrondoor/links/_calls.py
@@ -69,6 +69,8 @@
       failures: Calls with the outcome FAILED, and calls whose connection was
         lost or could not be opened.
       unmatched: Responses that match no call in flight on their connection.
+      malformed: Connections closed because the searcher sent bytes that are no
+        response, or too many.
       connects: Connections that were opened.
       cancels: Cancellations that were sent.
       skipped_cancels: Cancellations not sent for want of an idle connection.
@@ -78,6 +80,7 @@
         "cancels",
         "connects",
         "failures",
+        "malformed",
         "searches",
         "sheds",
         "skipped_cancels",
@@ -89,6 +92,7 @@
         self.sheds = 0
         self.failures = 0
         self.unmatched = 0
+        self.malformed = 0
         self.connects = 0
         self.cancels = 0
         self.skipped_cancels = 0
--- a/citrondoor/links/_searcher.py
+++ b/citrondoor/links/_searcher.py
@@ -47,6 +47,7 @@
         after a pause of this daemon, until its view of the cluster is confirmed
         or a timeout has elapsed. Queued calls are not started while it is
         False.
+      held_bytes_limiter: Limits what all links hold of partial responses.
     """
 
     __slots__ = (
@@ -65,6 +66,7 @@
         "cancel_head",
         "connect_timeout_s",
         "counters",
+        "held_bytes_limiter",
         "limiter",
         "run_head",
         "search_head",
@@ -82,8 +84,10 @@
         clock: clocks.Clock,
         fair_share: int,
         check_view: Callable[[int], bool],
+        held_bytes_limiter: limits.HeldBytesLimiter,
     ):
         self.searcher = searcher
+        self.held_bytes_limiter = held_bytes_limiter
         self.limiter = limiter
         self.counters = counters
         self.connect_timeout_s = settings.connect_timeout_ms / clocks.MS_PER_S
--- a/citrondoor/links/_upstreams.py
+++ b/citrondoor/links/_upstreams.py
@@ -11,6 +11,8 @@
 from citrondoor.schema import declarations
 from citrondoor.schema import settings as schema_settings
 
+_BYTES_PER_MB = 1_000_000
+
 
 class UpstreamPool:
     """The links to the searchers that this daemon uses.
@@ -29,6 +31,7 @@
     __slots__ = (
         "_check_view",
         "_clock",
+        "_held_bytes_limiter",
         "_latencies",
         "_links",
         "_settings",
@@ -48,6 +51,9 @@
         self._check_view = check_view
         self._vm = vm
         self._settings = settings
+        self._held_bytes_limiter = limits.HeldBytesLimiter(
+            settings.response_memory_mb * _BYTES_PER_MB
+        )
         self._warmup = warmup
         self._clock = clock
         self._links: dict[str, _searcher.SearcherLink] = {}
@@ -152,6 +158,7 @@
             self._clock,
             max(1, backend.slots // max(1, daemon_count)),
             self._check_view,
+            self._held_bytes_limiter,
         )
 
     def _retire_all_except(self, selected: set[str]) -> None:
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -43,6 +43,8 @@
   5: i32 max_queue = 64
   // No code reads it; kept so that settings files may still set it.
   6: i32 cold_idle_ms = 30000
+  // Memory for partly received responses of all searchers together, MB.
+  7: i32 response_memory_mb = 64
 }
 
 struct DaemonSettings {
@@ -76,6 +78,7 @@
   "PeerSettings.neighbours": {"low": 1, "high": 64},
   "PeerSettings.max_frame_bytes": {"low": 65536, "high": 67108864},
   "PeerSettings.request_timeout_ms": {"low": 10, "high": 60000},
+  "UpstreamSettings.response_memory_mb": {"low": 1, "high": 65536},
   "CallerSettings.max_body_bytes": {"low": 1024, "high": 16777216},
   "CallerSettings.header_timeout_ms": {"low": 100, "high": 60000},
   "CallerSettings.body_timeout_ms": {"low": 100, "high": 60000},
