Close connections of callers that do not read their answers

Cause: answers were written without waiting until they were sent. At a shutdown an answer that the caller had not read yet could be cut off. Change: a connection serves its next request once the kernel has the whole answer, and is closed when that takes longer than the idle timeout.

--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -86,6 +86,16 @@
     def connection_made(self, transport) -> None:
         """Stores the open transport; called by the event loop."""
         self.transport = transport
+        # `drain` waits until the kernel has all bytes of an answer.
+        transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self) -> None:
+        """Makes `drain` wait; called by the event loop."""
+        self._writable = asyncio.get_running_loop().create_future()
+
+    def resume_writing(self) -> None:
+        """Ends the wait of `drain`; called by the event loop."""
+        self._end_drain()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; called by the event loop."""
@@ -113,6 +123,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Marks the caller as disconnected; called by the event loop."""
         self._mark_disconnected()
+        self._end_drain()
 
     @property
     def has_partial_request(self) -> bool:
@@ -152,6 +163,28 @@
         self.transport.resume_reading()
         return self._requests.popleft()
 
+    async def drain(self, timeout_ms: int) -> None:
+        """Waits until all written bytes are sent; a stalled caller is cut off.
+
+        Otherwise the answers to a caller that sends requests and never reads
+        would fill the memory, and a shutdown could cut off an answer.
+
+        Args:
+          timeout_ms: Longest wait; the connection is aborted after it.
+        """
+        if self._writable is None:
+            return
+        try:
+            async with asyncio.timeout(timeout_ms / clocks.MS_PER_S):
+                await self._writable
+        except TimeoutError:
+            self.transport.abort()
+
+    def _end_drain(self) -> None:
+        if self._writable is not None and not self._writable.done():
+            self._writable.set_result(None)
+        self._writable = None
+
     def _remaining_s(
         self, idle_timeout_ms: int, request_timeout_ms: int
     ) -> float:
@@ -339,6 +372,7 @@
         except http1.ProtocolError as error:
             response = self._handler.refuse(error)
             channel.transport.write(http1.encode_response(response, False))
+            await channel.drain(limits.idle_timeout_ms)
             return False
         if request is None:
             return False
@@ -357,4 +391,5 @@
         if request.method == b"HEAD":
             response.body = b""
         channel.transport.write(http1.encode_response(response, keeps_alive))
+        await channel.drain(limits.idle_timeout_ms)
         return keeps_alive
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -270,3 +270,37 @@
         assert isinstance(answer, ConnectionRefusedError) or answer.startswith(
             b"HTTP/1.1 200 "
         ), answer
+
+
+def test_a_caller_that_does_not_read_holds_one_answer_and_is_closed():
+    # Answers to requests that are sent on and on were all kept in memory.
+    async def body():
+        handler = LargeAnswerHandler()
+        server = await start(handler)
+        _, writer = await connect(server)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        while not writer.transport.is_closing():
+            writer.write(GET)
+            await asyncio.sleep(0.01)
+            if loop.time() - started_at > 2:
+                break
+        writer.close()
+        return handler.count, loop.time() - started_at
+
+    answer_count, took_s = run(body())
+    # Socket buffers take a few MB; every further answer stays in memory.
+    assert answer_count <= 10
+    assert took_s < 1.5
+
+
+class LargeAnswerHandler(EchoHandler):
+    """Answers with 2 MB and counts its answers."""
+
+    def __init__(self):
+        super().__init__()
+        self.count = 0
+
+    async def handle(self, request, disconnected):
+        self.count += 1
+        return http1.Response(200, [], b"x" * 2_000_000)
