Close links whose peer does not read

Cause: messages to a peer were buffered without a limit; a peer that hangs with its connection open (a frozen VM, a one-way cut) made its peers hold all replies to it. Change: a link with more than 8 MB unsent is closed and dialled again.

--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -25,6 +25,10 @@
 HANDSHAKE_TIMEOUT_S = 2.0
 REDIAL_DELAY_MS = 50
 MAX_REDIAL_DELAY_MS = 1000
+# A link with more unsent bytes is closed: its peer does not read, and messages
+# to it would fill the memory. Within the 64 MB that a daemon may use for
+# control; a message is sent whatever its size while there are fewer.
+MAX_UNSENT_BYTES = 8_388_608
 
 Connector = Callable[[str, int], Awaitable[tuple]]
 Handler = Callable[[str, messages.Body], Awaitable[messages.Body]]
@@ -112,7 +116,15 @@
         self.bytes_received = 0
 
     def send(self, envelope: messages.Envelope) -> None:
-        """Buffers a message for sending; does not wait for a slow peer."""
+        """Buffers a message for sending; does not wait for a slow peer.
+
+        Closes the link instead if more than `MAX_UNSENT_BYTES` are unsent.
+        """
+        transport = self.writer.transport
+        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+            transport.abort()
+        if transport.is_closing():
+            return
         data = codec.encode_frame(
             self._send_authenticator, codec.encode(envelope)
         )
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -46,14 +46,18 @@
         self.port = self.server.port
 
     def dial(
-        self, key: bytes = KEY, name: str = "vm-1", on_notification=None
+        self,
+        key: bytes = KEY,
+        name: str = "vm-1",
+        on_notification=None,
+        connector=asyncio.open_connection,
     ) -> links.PeerLink:
         link = links.PeerLink(
             name,
             "127.0.0.1",
             self.port,
             make_settings("vm-0", key),
-            asyncio.open_connection,
+            connector,
             self.on_state_change,
             on_notification,
         )
@@ -203,3 +207,32 @@
 def test_encoded_message_decodes_to_the_same_message():
     message = messages.Envelope(3, 0, make_advert(9))
     assert codec.decode(messages.Envelope, codec.encode(message)) == message
+
+
+def test_a_link_whose_peer_does_not_read_is_closed():
+    # Messages to a peer that hangs were kept in memory without a limit.
+    async def scenario(pair: Pair):
+        writers = []
+
+        async def connect(host, port):
+            reader, writer = await asyncio.open_connection(host, port)
+            writers.append(writer)
+            return reader, writer
+
+        link = pair.dial(connector=connect)
+        await pair.link_up.wait()
+        writers[0].transport.pause_reading()
+        body = messages.Body(refused=messages.Refused("x" * 1_000_000))
+        # The dialing side proves its key first, so it may be up earlier.
+        while not pair.server.notify("vm-0", body):
+            await asyncio.sleep(0.001)
+        sent_count = 1
+        while pair.server.notify("vm-0", body) and sent_count < 100:
+            sent_count += 1
+            await asyncio.sleep(0.001)
+        # The limit of unsent bytes, one message, and socket buffers.
+        assert sent_count < 20
+        writers[0].transport.abort()
+        link.close()
+
+    run(scenario)
