Don't take part of a listing of the store for the whole one

Cause: a read that reached 1,000 pages, or a page that said it was not the last one and listed nothing, ended as if all had been listed. Searchers that it lacked were taken for gone. A page that came again and again was read 1,000 times. Change: both are errors, as is a page that does not advance; the view stays.

--- a/citrondoor/platform/_store.py
+++ b/citrondoor/platform/_store.py
@@ -31,8 +31,7 @@
 _MAX_I32 = 2**31 - 1
 _MAX_I64 = 2**63 - 1
 # Maximum number of pages in one read, in case the store's listing never ends;
-# 63,000 searchers take 130 pages. A read that reaches it returns the pages so
-# far, without an error.
+# 63,000 searchers take 130 pages.
 _MAX_PAGES = 1000
 
 
@@ -91,13 +90,24 @@
                 for item in items:
                     self._add_item(item, contents)
                 is_truncated = bool(page.get("truncated"))
-                after_key = items[-1]["key"] if items else ""
+                last_key = items[-1]["key"] if items else ""
+                if is_truncated and last_key <= after_key:
+                    raise ValueError(
+                        f"the page after {after_key!r} ends at {last_key!r} and"
+                        " is not the last one"
+                    )
+                after_key = last_key
             except (AttributeError, KeyError, TypeError, ValueError) as error:
                 raise self._client.make_error(
                     f"an unreadable listing ({type(error).__name__}: {error})"
                 ) from error
-            if not is_truncated or not after_key:
+            if not is_truncated:
                 break
+        else:
+            # Searchers that are missing in a part would be taken for gone.
+            raise self._client.make_error(
+                f"a listing of more than {_MAX_PAGES} pages"
+            )
         contents.revision = revision
         contents.routes = self._routes[1]
         return contents
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -292,3 +292,49 @@
     fake.status, fake.body = status, body
     with pytest.raises(errors.PlatformError, match=r"store\.address"):
         read(fake)
+
+
+@pytest.mark.parametrize(
+    "items",
+    [
+        # The same page again and again.
+        [item("op/config", CONFIG)],
+        # Truncated before the first item, so there is no next page to ask for.
+        [],
+    ],
+)
+def test_a_listing_that_does_not_advance_is_an_error(items):
+    # It was read 1,000 times, or taken for the whole one, and the searchers
+    # that it lacked were taken for gone.
+    fake = FakeStore([])
+    fake.body = orjson.dumps(
+        {"items": items, "truncated": True, "store-revision": 30}
+    )
+    with pytest.raises(errors.PlatformError, match="page"):
+        read(fake)
+
+
+class EndlessStore(FakeStore):
+    """Lists new searchers without end."""
+
+    def __init__(self):
+        super().__init__([])
+        self.page_count = 0
+
+    async def handle(self, request, disconnected):
+        self.page_count += 1
+        key = f"servers/i-{self.page_count:06}"
+        page = {
+            "items": [item(key, REGISTRATION)],
+            "truncated": True,
+            "store-revision": 30,
+        }
+        return http1.Response(200, [], orjson.dumps(page))
+
+
+def test_a_listing_without_end_is_an_error():
+    # The pages up to the limit were taken for the whole listing.
+    fake = EndlessStore()
+    with pytest.raises(errors.PlatformError, match="page"):
+        read(fake)
+    assert fake.page_count <= 1000
