Restart a part of citrondoord that fails unexpectedly

Cause: an unexpected error in any part of the daemon of the own interface, such as one malformed document that a part trips over, stopped the whole process. Change: both daemons start their parts through daemon/_supervisor.Parts, which restarts them up to 20 times in 10 s; a broken invariant still stops the daemon at once, as the design says. Removes the second copy of that code.

--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -22,6 +22,7 @@
 from citrondoor import timeline
 from citrondoor.daemon import _counters
 from citrondoor.daemon import _lifecycle
+from citrondoor.daemon import _supervisor
 from citrondoor.schema import messages
 from citrondoor.schema import settings as schema_settings
 
@@ -65,6 +66,7 @@
         "_lifecycle",
         "_log",
         "_marks_new_searchers_cold",
+        "_parts",
         "_peering",
         "_platform",
         "_pool",
@@ -80,7 +82,6 @@
         "_started_at",
         "_stop_signal_count",
         "_stopping",
-        "_tasks",
         "_view",
         "_warmup",
         "_warmup_leases",
@@ -101,8 +102,10 @@
         self._started_at = clock.now()
         self._marks_new_searchers_cold = False
         self._initial_searchers: list[str] = []
-        self._tasks: list[asyncio.Task] = []
         self._stopping = asyncio.Event()
+        self._parts = _supervisor.Parts(
+            clock, self._report_part, self._stopping.set
+        )
         self._stop_signal_count = 0
         self._build_view()
         self._build_peering(connector)
@@ -117,13 +120,13 @@
         settings = self._settings
         await self._peering.start(settings.address, settings.peer_port)
         await self._api_server.start()
-        self._start_task(self._configuration_synchronizer.run())
-        self._start_task(self._tick_forever())
-        self._start_task(self._rate_leases.run())
-        self._start_task(self._warmup_leases.run())
+        self._parts.start("configuration", self._configuration_synchronizer.run)
+        self._parts.start("tick", self._tick_forever)
+        self._parts.start("rate_leases", self._rate_leases.run)
+        self._parts.start("warmup_leases", self._warmup_leases.run)
         await self._join()
         if not self._stopping.is_set():
-            self._start_task(self._count_replicator.run())
+            self._parts.start("count_replication", self._count_replicator.run)
             self._admission.state = engine.AdmissionState.OPEN
             self._lifecycle.serve()
             await self._stopping.wait()
@@ -406,8 +409,7 @@
         await self._run_engine.drain()
         await self._count_replicator.push_to_peers()
         await self._api_server.close()
-        for task in self._tasks:
-            task.cancel()
+        self._parts.cancel()
         self._pool.close()
         await self._peering.close()
         await self._platform.close()
@@ -431,19 +433,9 @@
         self._stop_signal_count += 1
         self._stopping.set()
 
-    def _start_task(self, coroutine) -> None:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._on_task_end)
-        self._tasks.append(task)
-
-    def _on_task_end(self, task: asyncio.Task) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        # Shuts down: without its tick or its configuration updates, for
-        # example, the daemon would go on serving with an outdated view.
-        self._log.error("part_failed", error=str(task.exception()))
-        self._recorder.record("part_failed", str(task.exception()))
-        self._stopping.set()
+    def _report_part(self, event: str, **fields) -> None:
+        self._log.error(event, **fields)
+        self._recorder.record(event, f"{fields['part']}: {fields['error']}")
 
     def _log_event(self, event: messages.Event) -> None:
         self._log.info(event.kind, detail=event.detail)
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -8,7 +8,6 @@
 import random
 import signal
 import typing
-from collections.abc import Callable
 
 from citrondoor import addresses
 from citrondoor import clock as clocks
@@ -130,6 +129,7 @@
         "_lifecycle",
         "_log",
         "_metrics",
+        "_parts",
         "_peers",
         "_poller",
         "_pool",
@@ -140,7 +140,6 @@
         "_settings_watch",
         "_stopping",
         "_store",
-        "_tasks",
         "_view",
     )
 
@@ -159,7 +158,9 @@
         self._incarnation = clock.unix_ms()
         self._log = entry.DecisionLog(settings.vm, clock)
         self._stopping = asyncio.Event()
-        self._tasks: list[asyncio.Task] = []
+        self._parts = _supervisor.Parts(
+            clock, self._log.write, self._stopping.set
+        )
         self._lifecycle = _lifecycle.Lifecycle(self._record_event)
         self._settings_watch = _settings_watch.SettingsWatch(
             path,
@@ -262,7 +263,7 @@
         )
         self._handle_signals()
         self._lifecycle.join()
-        self._start_part("store_poller", self._poller.run)
+        self._parts.start("store_poller", self._poller.run)
         await self._peers.start()
         await self._caller_server.start(
             *addresses.split_address(settings.front)
@@ -274,11 +275,11 @@
             *addresses.split_address(settings.directory)
         )
         self._peers.announce_endpoint(self._endpoint(is_ready=False))
-        self._start_part("tick", self._tick_forever)
-        self._start_part("summary", self._summarize_forever)
-        self._start_part("settings_watch", self._watch_settings)
+        self._parts.start("tick", self._tick_forever)
+        self._parts.start("summary", self._summarize_forever)
+        self._parts.start("settings_watch", self._watch_settings)
         await self._join()
-        self._start_part(
+        self._parts.start(
             "metrics", lambda: self._metrics.start(self._poller, self._peers)
         )
         await self._stopping.wait()
@@ -331,8 +332,7 @@
         elapsed_s = asyncio.get_running_loop().time() - started_at
         remaining_ms = (grace_s * FINISH_FRACTION - elapsed_s) * clocks.MS_PER_S
         await self._caller_server.close(max(0, int(remaining_ms)))
-        for task in self._tasks:
-            task.cancel()
+        self._parts.cancel()
         self._pool.close()
         await self._peers.close()
         self._lifecycle.stop()
@@ -409,22 +409,3 @@
         while True:
             await asyncio.sleep(SETTINGS_CHECK_INTERVAL_S)
             self._settings_watch.check()
-
-    def _start_part(self, name: str, run: Callable) -> None:
-        """Starts a task that all requests depend on.
-
-        Args:
-          name: Name for the log.
-          run: Coroutine function of the task.
-        """
-        supervisor = _supervisor.Supervisor(name, self._clock, self._log)
-        task = asyncio.create_task(supervisor.run(run))
-        task.add_done_callback(self._on_part_end)
-        self._tasks.append(task)
-
-    def _on_part_end(self, task: asyncio.Task) -> None:
-        if task.cancelled() or task.exception() is None:
-            return
-        # Shuts down: without its tick or its store poller, for example, the
-        # daemon would go on serving with an outdated view.
-        self._stopping.set()
