Bound the bytes of callers of the own interface that are no body

Cause: uvicorn joins the pieces of a header without a limit, so a caller could keep the daemon busy with one header until the time limit of a head. Change: 64 KB for what is not the body, as for searchers; the connection is closed and counted. Result: two tests that failed before.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -133,7 +133,7 @@
         return None
 
 
-class _FramingMeter:
+class FramingMeter:
     """Limits the bytes of a message that are not part of its body.
 
     A peer can send these without end, in a head, in interim responses, in chunk
@@ -212,7 +212,7 @@
         # Of the head and of the body, in this order.
         self._max_bytes = (max_head_bytes, max_body_bytes)
         # Of what follows the head; the head has its own limit.
-        self._meter = _FramingMeter(max_head_bytes)
+        self._meter = FramingMeter(max_head_bytes)
         self._parser = httptools.HttpRequestParser(self)
         self._requests: list[Request] = []
         self._error: ProtocolError | None = None
@@ -330,7 +330,7 @@
 
     def __init__(self, max_body_bytes: int = MAX_RESPONSE_BODY_BYTES):
         self._max_body_bytes = max_body_bytes
-        self._meter = _FramingMeter(MAX_RESPONSE_HEAD_BYTES)
+        self._meter = FramingMeter(MAX_RESPONSE_HEAD_BYTES)
         self._parser = httptools.HttpResponseParser(self)
         self._responses: list[Response] = []
         self._error: ProtocolError | None = None
--- a/citrondoor/front/_server.py
+++ b/citrondoor/front/_server.py
@@ -1,6 +1,7 @@
 """HTTP server of the API, on top of uvicorn.
 
-Closes connections whose request head does not arrive in time.
+Closes connections whose request head does not arrive in time, and those that
+send too much that is not part of a body.
 """
 
 import asyncio
@@ -11,19 +12,26 @@
 from uvicorn.protocols.http import httptools_impl
 
 from citrondoor import clock as clocks
+from citrondoor.codecs import http1
 from citrondoor.schema import settings as schema_settings
 
 # uvicorn closes a connection that is idle this long after a response.
 KEEP_ALIVE_S = 75
 # Maximum number of connections that the kernel queues until they are accepted.
 BACKLOG = 1024
+# Bytes of one request that are not part of its body: its head, chunk extensions
+# and trailers. uvicorn joins the pieces of a header again and again, and has no
+# limit of its own.
+MAX_HEAD_BYTES = 65_536
 # uvicorn cancels requests that are unfinished this long after shutdown began.
 # Without it, one request that never ends would block the shutdown.
 SHUTDOWN_TIMEOUT_S = 60
 
 
-def make_protocol_class(header_timeout_ms: int, on_header_timeout) -> type:
-    """Returns a uvicorn protocol class with a timeout for request heads.
+def make_protocol_class(
+    header_timeout_ms: int, on_header_timeout, on_oversized
+) -> type:
+    """Returns a uvicorn protocol class that limits heads in time and size.
 
     The timer starts when the connection opens, restarts at the first byte of
     each request and stops when the request's head is complete.
@@ -32,14 +40,17 @@
       header_timeout_ms: Time for the head of a request, in milliseconds.
       on_header_timeout: Called without arguments for each connection that is
         closed because of the timeout.
+      on_oversized: Called without arguments for each connection that is closed
+        because of `MAX_HEAD_BYTES`.
     """
     timeout_s = header_timeout_ms / clocks.MS_PER_S
 
     class HeaderTimeoutProtocol(httptools_impl.HttpToolsProtocol):
-        __slots__ = ("_header_timer",)
+        __slots__ = ("_header_timer", "_meter")
 
         def connection_made(self, transport) -> None:
             super().connection_made(transport)
+            self._meter = http1.FramingMeter(MAX_HEAD_BYTES)
             self._header_timer = self.loop.call_later(
                 timeout_s, self._abort_connection
             )
@@ -48,6 +59,23 @@
             self._header_timer.cancel()
             super().connection_lost(exc)
 
+        def data_received(self, data: bytes) -> None:
+            if self.transport.is_closing():
+                return
+            self._meter.record_received(len(data))
+            super().data_received(data)
+            if self._meter.is_over_limit:
+                on_oversized()
+                self.transport.abort()
+
+        def on_body(self, body: bytes) -> None:
+            self._meter.record_body(len(body))
+            super().on_body(body)
+
+        def on_message_complete(self) -> None:
+            self._meter.reset()
+            super().on_message_complete()
+
         def on_message_begin(self) -> None:
             super().on_message_begin()
             self._header_timer.cancel()
@@ -88,9 +116,10 @@
     Attributes:
       header_timeout_count: Connections closed because a request head did not
         arrive in time.
+      oversized_count: Connections closed because of `MAX_HEAD_BYTES`.
     """
 
-    __slots__ = ("_server", "_task", "header_timeout_count")
+    __slots__ = ("_server", "_task", "header_timeout_count", "oversized_count")
 
     def __init__(
         self,
@@ -100,6 +129,7 @@
         settings: schema_settings.CallerSettings,
     ):
         self.header_timeout_count = 0
+        self.oversized_count = 0
         # The daemon logs its state changes itself, so uvicorn logs only errors.
         logging.getLogger("uvicorn").setLevel(logging.ERROR)
         config = uvicorn.Config(
@@ -108,7 +138,9 @@
             port=port,
             loop="asyncio",
             http=make_protocol_class(
-                settings.header_timeout_ms, self._on_header_timeout
+                settings.header_timeout_ms,
+                self._on_header_timeout,
+                self._on_oversized,
             ),
             ws="none",
             lifespan="off",
@@ -142,3 +174,6 @@
 
     def _on_header_timeout(self) -> None:
         self.header_timeout_count += 1
+
+    def _on_oversized(self) -> None:
+        self.oversized_count += 1
--- a/tests/front/test_app.py
+++ b/tests/front/test_app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import time
 
 import orjson
 import pytest
@@ -21,7 +22,7 @@
 class ServedApi:
     """An API server on a TCP port, for a daemon of an in-process cluster."""
 
-    def __init__(self):
+    def __init__(self, settings=SETTINGS):
         self.cluster = fakes.FakeCluster()
         daemon = self.cluster.daemons["vm-0"]
         status = front.StatusReporter(
@@ -32,11 +33,11 @@
             status,
             telemetry.Metrics("vm-0", "za"),
             self.cluster.clock,
-            SETTINGS,
+            settings,
             hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
         )
         self.server = front.ApiServer(
-            front.make_app(handlers), "127.0.0.1", 0, SETTINGS
+            front.make_app(handlers), "127.0.0.1", 0, settings
         )
         self.port = 0
 
@@ -69,9 +70,9 @@
     return orjson.dumps({**content, **changes})
 
 
-def run_scenario(scenario):
+def run_scenario(scenario, settings=SETTINGS):
     async def run_with_server():
-        api = ServedApi()
+        api = ServedApi(settings)
         await api.start()
         try:
             await scenario(api)
@@ -173,3 +174,41 @@
         assert content["session"].startswith("vm-0~1~")
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "start",
+    [
+        b"POST /v1/search HTTP/1.1\r\nx-a: ",
+        make_post("/v1/search", b"").replace(
+            b"content-length: 0\r\n\r\n",
+            b"transfer-encoding: chunked\r\n\r\n1;",
+        ),
+    ],
+)
+def test_bytes_without_end_of_a_caller_close_its_connection(start):
+    # A header in pieces of 64 KB kept the daemon busy until its time limit.
+    async def scenario(api):
+        _, writer = await asyncio.open_connection("127.0.0.1", api.port)
+        writer.write(start)
+        sent_bytes = 0
+        started_at = time.monotonic()
+        while not writer.transport.is_closing() and sent_bytes < 100_000_000:
+            writer.write(b"y" * 65_536)
+            sent_bytes += 65_536
+            try:
+                await writer.drain()
+            except ConnectionError:
+                break
+        writer.close()
+        assert api.server.oversized_count == 1
+        # Socket buffers take what the daemon does not read any more.
+        assert sent_bytes < 20_000_000
+        assert time.monotonic() - started_at < 1
+
+    run_scenario(
+        scenario,
+        schema_settings.CallerSettings(
+            max_body_bytes=2000, header_timeout_ms=5000, body_timeout_ms=5000
+        ),
+    )
