--- a/tests/fanout/test_connections.py
+++ b/tests/fanout/test_connections.py
@@ -55,6 +55,14 @@
         assert total_limit(120, daemons_by_zone, zone) <= 102
 
 
+def test_300_daemons_are_not_offered_more_than_a_searcher_accepts():
+    # One connection for each daemon is already too many: a subset of the
+    # daemons would have to connect, and the others send through relays.
+    daemons_by_zone = dict.fromkeys("abcdefg", 43)
+    for is_shard in (True, False):
+        assert total_limit(120, daemons_by_zone, "a", is_shard) <= 120
+
+
 @hypothesis.given(
     strategies.dictionaries(
         strategies.sampled_from(ZONES), strategies.integers(7, 20), min_size=3
--- a/tests/links/test_upstreams.py
+++ b/tests/links/test_upstreams.py
@@ -84,9 +84,9 @@
     return future
 
 
-def run_calls(head: bytes, settings, call_count: int):
+def run_calls(head: bytes, settings, call_count: int, make=EndlessSearcher):
     async def body():
-        searcher = EndlessSearcher(head)
+        searcher = make(head)
         server = await asyncio.start_server(searcher.serve, "127.0.0.1", 0)
         pool = make_pool(server.sockets[0].getsockname()[1], settings)
         try:
@@ -134,3 +134,30 @@
     assert counters.malformed == 3
     # Without a common limit, three bodies of 10 MB.
     assert peak_bytes < 10_000_000
+
+
+class BrokenOffSearcher(EndlessSearcher):
+    """Sends the start of a response and closes the connection."""
+
+    async def serve(self, reader, writer):
+        await reader.read(4096)
+        writer.write(self.head)
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b'HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{"id":0,"result":"r"}',
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        b'15\r\n{"id":0,"result":"r"}\r\n',
+        # Without a length, the end of the connection may be a break.
+        b'HTTP/1.1 200 OK\r\n\r\n{"id":0,"result":"r"}',
+    ],
+)
+def test_a_response_that_breaks_off_is_no_answer(head):
+    # Its bytes are a whole JSON document, so only the framing tells.
+    (answer,), _, _ = run_calls(
+        head, schema_settings.UpstreamSettings(), 1, BrokenOffSearcher
+    )
+    assert answer.outcome == OUTCOME.FAILED
