--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -208,3 +208,22 @@
     finished = reader.finish()
     assert len(responses) <= 3 + len(inserted) // 2
     assert finished is None or finished.status
+
+
+@hypothesis.given(
+    BODIES,
+    strategies.integers(0, 150),
+    strategies.binary(max_size=6),
+    strategies.integers(1, 50),
+)
+def test_corrupted_requests_give_requests_or_a_protocol_error(
+    body, position, inserted, chunk_bytes
+):
+    whole = 3 * http1.encode_request(b"POST", b"/a", [(b"host", b"h")], body)
+    data = whole[:position] + inserted + whole[position + 1 :]
+    try:
+        requests = read_requests(data, chunk_bytes)
+    except http1.ProtocolError as error:
+        assert error.status in (400, 413, 431)
+    else:
+        assert len(requests) <= 3 + len(inserted) // 2
