Play the shared limit of hedges and retries with 5, 78 and 300 daemons that change

Tests only: daemons are added, half or all are restarted while every request is repeated. The count in a window uses bisection.

--- a/tests/fanout/test_budget.py
+++ b/tests/fanout/test_budget.py
@@ -1,6 +1,8 @@
+import bisect
 import random
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from citrondoor import clock as clocks
@@ -13,7 +15,9 @@
 
 
 def count_in_window(times, start):
-    return sum(start <= at < start + WINDOW_MS for at in times)
+    """Counts sorted times in the window that begins at `start`."""
+    first = bisect.bisect_left(times, start)
+    return bisect.bisect_left(times, start + WINDOW_MS) - first
 
 
 @hypothesis.given(
@@ -99,3 +103,94 @@
     # and 5% of the requests, plus the burst.
     assert hedge_share(0.98) > 0.12
     assert hedge_share(0.5) < 0.07
+
+
+# Daemons of the users' small and large deployments and of the sweep, with the
+# slack that the platform gives them: about 5.5 for each VM above five.
+FLEETS = [(5, 54), (78, 430), (300, 1650)]
+CHANGE_AT_MS = 30_000
+
+
+class Fleet:
+    """Daemons that need a hedge or retry for each request.
+
+    Args:
+      size: Number of daemons.
+      slack: Hedges and retries that all may send beyond their ratio.
+    """
+
+    def __init__(self, size: int, slack: int):
+        self.bounds = serving.BoundSettings(extra_ratio=0.2, extra_slack=slack)
+        self.rng = random.Random(size)
+        self.daemons: list[fanout.HedgeRetryLimiter] = []
+        self.requests: list[int] = []
+        self.extras: list[int] = []
+        self.add(size)
+
+    def add(self, count: int) -> None:
+        """Starts daemons; all daemons learn of them at once."""
+        size = len(self.daemons) + count
+        self.daemons += [
+            fanout.HedgeRetryLimiter(self.bounds, size) for _ in range(count)
+        ]
+        for daemon in self.daemons:
+            daemon.set_member_count(size)
+
+    def restart(self, count: int) -> None:
+        """Replaces daemons by new ones that do not know what was sent."""
+        size = len(self.daemons)
+        self.daemons[:count] = [
+            fanout.HedgeRetryLimiter(self.bounds, size) for _ in range(count)
+        ]
+
+    def play(self, until_ms: int) -> None:
+        now = self.requests[-1] if self.requests else 1000
+        while now < until_ms:
+            now += int(self.rng.expovariate(40) * clocks.MS_PER_S) + 1
+            daemon = self.rng.choice(self.daemons)
+            daemon.record_request("store", now)
+            self.requests.append(now)
+            # All searchers are slow or fail, so each attempt is repeated.
+            for limiter in (daemon, *self.rng.sample(self.daemons, 3)):
+                if limiter.try_acquire("store", now):
+                    self.extras.append(now)
+
+    def worst_excess(self) -> float:
+        """Returns the most hedges and retries over the limit in a window."""
+        return max(
+            count_in_window(self.extras, start)
+            - self.bounds.extra_slack
+            - self.bounds.extra_ratio
+            * max(
+                count_in_window(self.requests, start - shift)
+                for shift in (0, WINDOW_MS // 2, WINDOW_MS)
+            )
+            for start in self.extras
+        )
+
+
+def grow(fleet: Fleet) -> None:
+    fleet.add(len(fleet.daemons) // 2)
+
+
+def restart_half(fleet: Fleet) -> None:
+    fleet.restart(len(fleet.daemons) // 2)
+
+
+def restart_all(fleet: Fleet) -> None:
+    fleet.restart(len(fleet.daemons))
+
+
+@pytest.mark.parametrize(("size", "slack"), FLEETS)
+@pytest.mark.parametrize("change", [grow, restart_half, restart_all])
+def test_changes_of_members_do_not_exceed_the_limit_or_starve(
+    size, slack, change
+):
+    fleet = Fleet(size, slack)
+    fleet.play(CHANGE_AT_MS)
+    change(fleet)
+    sent_before = len(fleet.extras)
+    fleet.play(CHANGE_AT_MS + 2 * WINDOW_MS)
+    assert fleet.worst_excess() <= 0
+    # Half of what the ratio alone allows in two windows.
+    assert len(fleet.extras) - sent_before >= 0.5 * 0.2 * 40 * 20
