Play a daemon that leaves a cluster of 78 and of 300

Test only: which links move when one daemon leaves. Only daemons that linked to it choose other peers, and up to 8 whose link to its zone became needless or needed.

--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -2,6 +2,7 @@
 import random
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from citrondoor import membership
@@ -165,6 +166,37 @@
         assert len(linked) <= 16
 
 
+def links_of(zone_of):
+    """Returns the peers that each daemon of a large cluster links to."""
+    links = {}
+    for name, zone in zone_of.items():
+        neighbours = membership.choose_neighbours(name, list(zone_of), 8)
+        links[name] = {
+            *neighbours,
+            *membership.choose_cross_zone_peers(
+                name, zone, zone_of, neighbours, 2
+            ),
+        }
+    return links
+
+
+@pytest.mark.parametrize("size", [78, 300])
+def test_a_daemon_that_leaves_moves_only_the_links_to_it(size):
+    zone_of = {f"vm-{n}": "abcdefg"[n % 7] for n in range(size)}
+    before = links_of(zone_of)
+    zone_of.pop("vm-10")
+    after = links_of(zone_of)
+    moved = {name for name in after if after[name] != before[name]}
+    # Each daemon that linked to it chooses another peer. A new neighbour may
+    # make a link to its zone needless, or the other way round.
+    linked = {name for name in after if "vm-10" in before[name]}
+    assert linked <= moved
+    assert len(moved) <= len(linked) + 8
+    # Some have it as a neighbour on more than one ring.
+    new_count = sum(len(after[name] - before[name]) for name in moved)
+    assert new_count <= 2 * len(linked)
+
+
 def test_cross_zone_links_are_spread_over_the_peers_of_a_zone():
     zone_of = {f"vm-{n}": "abcde"[n % 5] for n in range(50)}
     link_counts = collections.Counter()
