--- a/tests/fanout/test_connections.py
+++ b/tests/fanout/test_connections.py
@@ -3,6 +3,7 @@
 from hypothesis import strategies
 
 from citrondoor import fanout
+from citrondoor.entry import _peer_network
 
 ZONES = "abcde"
 
@@ -55,6 +56,20 @@
         assert total_limit(120, daemons_by_zone, zone) <= 102
 
 
+def test_daemons_that_have_just_started_stay_within_what_is_accepted():
+    # After a power cut of all, each daemon knows only itself at first and
+    # assumes a number of others, all in its own zone.
+    assumed_count = _peer_network.ASSUMED_MEMBER_COUNT
+    total = sum(
+        count
+        * fanout.connection_limit(
+            120, {own_zone: assumed_count}, own_zone, "a", True
+        )
+        for own_zone, count in LARGE.items()
+    )
+    assert total <= 120
+
+
 def test_300_daemons_are_not_offered_more_than_a_searcher_accepts():
     # One connection for each daemon is already too many: a subset of the
     # daemons would have to connect, and the others send through relays.
