Choose by membership which daemons connect to a searcher

Change: fanout.ConnectionAllocator places the daemons on a ring by a hash; with fewer connections than daemons the successors of a searcher may connect. The others send through a peer that may, single sends as well, and a searcher that nobody linked can reach is no candidate. A daemon has one connection to each searcher until the members that it knows have stopped growing for two heartbeats. A limit that falls closes idle connections beyond it.

The tests of limits ask for the limit of each named daemon now instead of one for each zone, with the same bounds; the test of views that differ counts the daemon that came as well.

--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -205,9 +205,9 @@
         self._pool = links.HttpPool(
             self._adapter.make_searcher_codec(),
             self._clock,
-            self._peers.daemons_by_zone(self._clock.now()),
             self._dispatcher.on_unreachable,
             self._dispatcher.on_malformed,
+            self._settings.vm,
             self._settings.zone,
             self._settings.memory_mb,
         )
@@ -299,7 +299,9 @@
             self._peers.tick(now)
             member_count = self._peers.effective_member_count(now)
             self._dispatcher.set_members(self._peers.live_vms(), member_count)
-            self._pool.set_daemon_counts(self._peers.daemons_by_zone(now))
+            self._pool.set_members(
+                self._peers.recent_zones(now), self._peers.is_settling(now)
+            )
             self._pool.sweep(now)
             self._relay.sweep(now)
             await asyncio.sleep(TICK_MS / clocks.MS_PER_S)
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -301,7 +301,7 @@
         running.fanout = fanout.Fanout(
             backends,
             options,
-            self._usable_upstreams_in(definition.regions),
+            self._reachable_upstreams(route),
             self._replicas,
             self._hedge_retry_limiter,
             self._try_acquire_send,
@@ -316,6 +316,30 @@
             route.name, request.deadline_ms, route.target_ms, request.arrived_at
         )
 
+    def _reachable_upstreams(self, route: routes.ResolvedRoute):
+        """Returns a function from a back end to searchers that can get sends.
+
+        A searcher to which this daemon may not connect can get sends only
+        through a peer.
+        """
+        usable = self._usable_upstreams_in(route.definition.regions)
+        if not self._pool.is_subset:
+            return usable
+        is_relayable = self._top_if_relayable(route) is not None
+        is_zone_reachable: dict[str, bool] = {}
+
+        def can_send(upstream: serving.Upstream) -> bool:
+            if self._pool.may_connect(upstream):
+                return True
+            zone = upstream.zone
+            if zone not in is_zone_reachable:
+                is_zone_reachable[zone] = (
+                    is_relayable and self._relay.can_reach(zone)
+                )
+            return is_zone_reachable[zone]
+
+        return lambda backend: [u for u in usable(backend) if can_send(u)]
+
     def _usable_upstreams_in(self, regions: list[str]):
         usable = self._view.registry.usable_upstreams
         if not regions:
@@ -324,6 +348,12 @@
         zones = self._view.zones_of(regions)
         return lambda backend: [u for u in usable(backend) if u.zone in zones]
 
+    def _top_if_relayable(self, route: routes.ResolvedRoute) -> int | None:
+        """Returns the number of records to merge if peers may send, or None."""
+        if self._relay is None or route.definition.regions:
+            return None
+        return _answers.top_if_relayable(route.target)
+
     async def _run_fanout(
         self, running: _running.RunningRequest, disconnected: asyncio.Future
     ) -> fanout.FanoutStatus | None:
@@ -365,52 +395,68 @@
     ) -> None:
         """Makes the first sends, those to other zones through peers there.
 
-        Sends go to the searchers directly if there is no relay, if the target
-        is not a `ScatterTarget`, if the route is limited to some regions, or if
-        the relay refuses the sends to a zone.
+        Sends go to the searchers directly if the route cannot be served
+        through peers, or if the relay refuses them.
         """
-        top = _answers.top_if_relayable(running.route.target)
-        if (
-            self._relay is None
-            or top is None
-            or running.route.definition.regions
-        ):
+        top = self._top_if_relayable(running.route)
+        if top is None:
             self._submit(running, sends)
             return
         by_zone: dict[str, list[fanout.Send]] = {}
         for send in sends:
             by_zone.setdefault(send.replica.upstream.zone, []).append(send)
         for zone, zone_sends in by_zone.items():
-            if zone == self._zone:
-                self._submit(running, zone_sends)
-                continue
-            # Registered first, because the relay may report the end of a send
-            # before `submit` returns.
-            for send in zone_sends:
-                self._pending_sends[send.token] = (send, running)
-            if self._relay.submit(
-                zone,
-                running.outbound,
-                top,
-                zone_sends,
-                self._on_peer_reply,
-            ):
-                self.counters.sends += len(zone_sends)
-            else:
-                self._submit(running, zone_sends)
+            if zone != self._zone:
+                zone_sends = self._delegate(
+                    running, zone, top, zone_sends, self._on_peer_reply
+                )
+            self._submit(running, zone_sends)
+
+    def _delegate(
+        self,
+        running: _running.RunningRequest,
+        zone: str,
+        top: int,
+        sends: list[fanout.Send],
+        on_result,
+        min_sends: int = _relay.MIN_SENDS_PER_BATCH,
+    ) -> list[fanout.Send]:
+        """Makes sends through peers; returns those that must go directly."""
+        # Registered first, because the relay may report the end of a send
+        # before `submit` returns.
+        for send in sends:
+            self._pending_sends[send.token] = (send, running)
+        remaining = self._relay.submit(
+            zone, running.outbound, top, sends, on_result, min_sends
+        )
+        self.counters.sends += len(sends) - len(remaining)
+        return remaining
 
     def _submit(
         self, running: _running.RunningRequest, sends: list[fanout.Send]
     ) -> None:
+        """Sends to searchers directly, or through a peer if it must be."""
         for send in sends:
-            self._pending_sends[send.token] = (send, running)
-            self.counters.sends += 1
-            if send.replica.upstream.zone != self._zone:
-                self.counters.cross_zone_sends += 1
-            exchange = links.Exchange(
-                send.token, running.outbound, self._on_reply
-            )
-            self._pool.submit(send.replica.upstream, exchange)
+            upstream = send.replica.upstream
+            if self._pool.is_subset and not self._pool.may_connect(upstream):
+                top = self._top_if_relayable(running.route)
+                # A later reply of the group must not replace an earlier one:
+                # nothing was left out because of this one.
+                if top is not None and not self._delegate(
+                    running, upstream.zone, top, [send], self._on_reply, 1
+                ):
+                    continue
+            self._submit_directly(running, send)
+
+    def _submit_directly(
+        self, running: _running.RunningRequest, send: fanout.Send
+    ) -> None:
+        self._pending_sends[send.token] = (send, running)
+        self.counters.sends += 1
+        if send.replica.upstream.zone != self._zone:
+            self.counters.cross_zone_sends += 1
+        exchange = links.Exchange(send.token, running.outbound, self._on_reply)
+        self._pool.submit(send.replica.upstream, exchange)
 
     def _on_peer_reply(self, token: int, reply: links.ExchangeResult) -> None:
         send, running = self._pending_sends[token]
@@ -420,8 +466,7 @@
         ):
             # The peer leaves out records of other shards that are smaller than
             # records of this reply, so this reply must be merged, even if a
-            # hedge to another replica was answered first. Hedges never go
-            # through peers, so this never replaces a reply of a peer.
+            # hedge to another replica was answered first.
             running.replies[send.group] = reply
         self._on_reply(token, reply)
 
--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import collections
 import functools
 import itertools
 from collections.abc import Callable
@@ -48,6 +47,8 @@
 # A daemon that has received no heartbeat within this time after its start no
 # longer assumes `ASSUMED_MEMBER_COUNT` daemons, but counts those that it knows.
 DISCOVERY_TIMEOUT_MS = 4000
+# Two heartbeats: within one, peers that have heard of further daemons say so.
+SETTLE_MS = 2 * HEARTBEAT_INTERVAL_MS
 # Holds the searcher list of a large cluster and a long configuration.
 MAX_FRAME_BYTES = 33_554_432
 # Timeout of a request to a peer, and of waiting for a link to come up.
@@ -71,6 +72,7 @@
         "_clock",
         "_has_received_heartbeat",
         "_heartbeat_numbers",
+        "_is_settled",
         "_last_alive_at",
         "_link_down_listeners",
         "_link_settings",
@@ -84,6 +86,8 @@
         "_seeds",
         "_server",
         "_settings",
+        "_settling_count",
+        "_settling_since",
         "_started_at",
         "_tasks",
         "_view",
@@ -133,6 +137,9 @@
         self._started_at = clock.now()
         self._last_alive_at: dict[str, int] = {}
         self._has_received_heartbeat = False
+        self._is_settled = False
+        self._settling_count = 0
+        self._settling_since = self._started_at
         self._heartbeat_numbers = itertools.count()
         self._linked_version = -1
         self.protocol_error_count = 0
@@ -171,32 +178,54 @@
         Counts the daemons that were alive within `MEMBER_COUNT_WINDOW_MS`, and
         at least `ASSUMED_MEMBER_COUNT` while peers are still being discovered.
         """
-        for name in self.live_vms():
-            self._last_alive_at[name] = now
-        recent_count = sum(
-            now - alive_at < MEMBER_COUNT_WINDOW_MS
-            for alive_at in self._last_alive_at.values()
-        )
+        recent_count = len(self._recent_vms(now))
         is_discovering = now - self._started_at < DISCOVERY_TIMEOUT_MS
         if is_discovering and not self._has_received_heartbeat:
             return max(recent_count, ASSUMED_MEMBER_COUNT)
         return recent_count
 
-    def daemons_by_zone(self, now: int) -> dict[str, int]:
-        """Returns the number of daemons in each availability zone.
+    def recent_zones(self, now: int) -> dict[str, str]:
+        """Returns the availability zone of each daemon's VM.
 
-        The numbers add up to `effective_member_count`. Daemons without a known
-        endpoint are counted under an empty zone name.
+        Includes the daemons that were alive within `MEMBER_COUNT_WINDOW_MS`.
+        The zone of one without a known endpoint is empty.
         """
-        member_count = self.effective_member_count(now)
-        counts: collections.Counter[str] = collections.Counter()
-        for name, alive_at in self._last_alive_at.items():
+        zones = {}
+        for name in self._recent_vms(now):
             endpoint = self._members.endpoint_of(name)
-            if now - alive_at < MEMBER_COUNT_WINDOW_MS:
-                counts[endpoint.zone if endpoint else ""] += 1
-        # The zone of assumed daemons is unknown; this daemon's zone is used.
-        counts[self._settings.zone] += max(0, member_count - counts.total())
-        return dict(counts)
+            zones[name] = endpoint.zone if endpoint else ""
+        zones[self._settings.vm] = self._settings.zone
+        return zones
+
+    def is_settling(self, now: int) -> bool:
+        """Returns whether daemons may exist that this one doesn't know yet.
+
+        After its start, and until the members that it knows have not become
+        more for `SETTLE_MS` or `DISCOVERY_TIMEOUT_MS` have passed: if all
+        daemons start at once, each hears of the others little by little.
+        """
+        if self._is_settled:
+            return False
+        count = len(self._members.all_members)
+        if count > self._settling_count:
+            self._settling_count = count
+            self._settling_since = now
+        is_stable = (
+            self._has_received_heartbeat
+            and now - self._settling_since >= SETTLE_MS
+        )
+        is_discovering = now - self._started_at < DISCOVERY_TIMEOUT_MS
+        self._is_settled = is_stable or not is_discovering
+        return not self._is_settled
+
+    def _recent_vms(self, now: int) -> list[str]:
+        for name in self.live_vms():
+            self._last_alive_at[name] = now
+        return [
+            name
+            for name, alive_at in self._last_alive_at.items()
+            if now - alive_at < MEMBER_COUNT_WINDOW_MS
+        ]
 
     def ready_endpoints(self) -> list[serving.EntryPlace]:
         """Returns the endpoints of daemons to which callers may connect.
--- a/citrondoor/entry/_relay.py
+++ b/citrondoor/entry/_relay.py
@@ -73,7 +73,7 @@
 class Relay:
     """Delegates sends to peers, and makes the sends that peers delegate.
 
-    `set_pool` must be called before a peer can be served.
+    `set_pool` must be called before `submit` and before a peer can be served.
 
     Args:
       peers: Links to peers.
@@ -137,9 +137,13 @@
         peers.add_link_down_listener(self.on_link_down)
 
     def set_pool(self, pool: links.HttpPool) -> None:
-        """Sets the connection pool for sends that peers delegate."""
+        """Sets the pool that sends, and knows which peers may connect."""
         self._pool = pool
 
+    def can_reach(self, zone: str) -> bool:
+        """Returns whether a peer can send to searchers of a zone."""
+        return bool(self._candidates(zone))
+
     def submit(
         self,
         zone: str,
@@ -147,8 +151,11 @@
         top: int,
         sends: list[fanout.Send],
         on_result,
-    ) -> bool:
-        """Delegates sends to a peer in the zone of their searchers.
+        min_sends: int = MIN_SENDS_PER_BATCH,
+    ) -> list[fanout.Send]:
+        """Delegates sends to peers in the zone of their searchers.
+
+        All go to one peer, unless it may not connect to some of the searchers.
 
         Args:
           zone: Availability zone of the searchers.
@@ -156,27 +163,59 @@
           top: Number of records in the merged answer.
           sends: Sends to delegate; all their searchers are in the zone.
           on_result: Called once with the token and the result of each send.
+          min_sends: Fewer sends than this are not delegated to a peer.
 
         Returns:
-          Whether the sends were delegated. If not, the caller must make them.
+          The sends that were not delegated, which the caller must make.
         """
-        if len(sends) < MIN_SENDS_PER_BATCH:
-            return False
+        remaining = sends
+        for peer in self._candidates(zone):
+            batch = [
+                send
+                for send in remaining
+                if self._pool.may_peer_connect(peer, send.replica.upstream)
+            ]
+            if len(batch) < min_sends:
+                continue
+            if not self._delegate(peer, outbound, top, batch, on_result):
+                continue
+            if len(batch) == len(remaining):
+                return []
+            delegated = {send.token for send in batch}
+            remaining = [
+                send for send in remaining if send.token not in delegated
+            ]
+        return remaining
+
+    def _candidates(self, zone: str) -> list[str]:
+        """Returns the peers that can send to a zone, least loaded first."""
         now = self._clock.now()
         peers = [
             name
             for name in self._peers.reachable_in(zone)
             if not self._is_silent(name, now)
         ]
-        if not peers:
-            return False
-        peer = self._rng.choice(peers)
+        self._rng.shuffle(peers)
+        return sorted(
+            peers, key=lambda name: len(self._pending_sends.get(name, ()))
+        )
+
+    def _delegate(
+        self,
+        peer: str,
+        outbound: links.OutboundRequest,
+        top: int,
+        sends: list[fanout.Send],
+        on_result,
+    ) -> bool:
         if not self._peers.notify(
             peer, self._make_relay_request(outbound, top, sends)
         ):
             return False
         pending = self._pending_sends.setdefault(peer, {})
-        batch = _DelegatedBatch(now, outbound.deadline_at + REPLY_EXPIRY_MS)
+        batch = _DelegatedBatch(
+            self._clock.now(), outbound.deadline_at + REPLY_EXPIRY_MS
+        )
         for send in sends:
             pending[send.token] = (batch, on_result)
             self._peer_of[send.token] = peer
--- a/citrondoor/fanout/__init__.py
+++ b/citrondoor/fanout/__init__.py
@@ -5,7 +5,7 @@
 """
 
 from citrondoor.fanout._budget import HedgeRetryLimiter
-from citrondoor.fanout._connections import connection_limit
+from citrondoor.fanout._connections import ConnectionAllocator
 from citrondoor.fanout._elapsed import ElapsedTimeEstimator
 from citrondoor.fanout._elapsed import remaining_target_ms
 from citrondoor.fanout._fanout import Fanout
@@ -21,6 +21,7 @@
 from citrondoor.fanout._warmup_rate import WarmupRateLimiter
 
 __all__ = [
+    "ConnectionAllocator",
     "ElapsedTimeEstimator",
     "Fanout",
     "FanoutOptions",
@@ -33,7 +34,6 @@
     "RouteLatencies",
     "Send",
     "WarmupRateLimiter",
-    "connection_limit",
     "merge_top_records",
     "remaining_target_ms",
 ]
--- a/citrondoor/links/_http_pool.py
+++ b/citrondoor/links/_http_pool.py
@@ -26,26 +26,27 @@
     Args:
       codec: Encodes requests to searchers and decodes their responses.
       clock: Clock of the daemon.
-      daemons_by_zone: Initial number of daemons in each zone, which share the
-        connections that a searcher accepts.
       on_unreachable: Called with the searcher when a connection attempt fails.
       on_malformed: Called with the searcher and the error when a connection is
         closed because of what the searcher sent.
-      zone: Availability zone of this daemon.
+      vm: Name of this daemon's VM.
+      zone: Its availability zone.
       memory_mb: Memory of the VM in MB, of which responses may use a part.
     """
 
     __slots__ = (
+        "_allocator",
         "_backends",
         "_clock",
         "_codec",
-        "_daemons_by_zone",
         "_held_bytes_limiter",
         "_links",
         "_links_by_token",
         "_on_malformed",
         "_on_unreachable",
         "_shard_backends",
+        "_unconnectable_count",
+        "_vm",
         "_zone",
         "counters",
     )
@@ -54,16 +55,18 @@
         self,
         codec: _exchanges.SearcherCodec,
         clock: clocks.Clock,
-        daemons_by_zone: dict[str, int],
         on_unreachable,
         on_malformed,
+        vm: str,
         zone: str,
         memory_mb: int,
     ):
+        self._vm = vm
         self._zone = zone
         self._codec = codec
         self._clock = clock
-        self._daemons_by_zone = daemons_by_zone
+        # Until `set_members` tells the other daemons.
+        self._allocator = fanout.ConnectionAllocator({vm: zone}, True)
         self._backends: dict[str, serving.RouteBackend] = {}
         self._shard_backends: frozenset[str] = frozenset()
         self._on_unreachable = on_unreachable
@@ -73,6 +76,7 @@
         )
         self._links: dict[tuple, _http_searcher.HttpSearcherLink] = {}
         self._links_by_token: dict[int, _http_searcher.HttpSearcherLink] = {}
+        self._unconnectable_count = 0
         self.counters = _http_searcher.HttpCounters()
 
     @property
@@ -80,13 +84,37 @@
         """Number of connections that are open or being opened."""
         return sum(link.open_count for link in self._links.values())
 
-    def set_daemon_counts(self, counts_by_zone: dict[str, int]) -> None:
-        """Sets the number of daemons in each zone and updates all limits."""
-        if counts_by_zone == self._daemons_by_zone:
+    @property
+    def is_subset(self) -> bool:
+        """Whether this daemon may not connect to some of the searchers."""
+        return self._unconnectable_count > 0
+
+    def may_connect(self, upstream: serving.Upstream) -> bool:
+        """Returns whether this daemon may keep connections to a searcher."""
+        link = self._links.get(_link_key(upstream))
+        if link is None:
+            return self._own_limit(upstream) > 0
+        return link.max_connections > 0
+
+    def may_peer_connect(self, vm: str, upstream: serving.Upstream) -> bool:
+        """Returns whether a peer may keep connections to a searcher."""
+        return self._connection_limit(vm, upstream) > 0
+
+    def set_members(
+        self, zones_by_vm: dict[str, str], is_settling: bool
+    ) -> None:
+        """Sets the daemons that share connections and updates all limits.
+
+        Args:
+          zones_by_vm: Availability zone of each daemon's VM.
+          is_settling: Whether further daemons may exist that are not known yet.
+        """
+        if self._allocator.is_for(zones_by_vm, is_settling):
             return
-        self._daemons_by_zone = counts_by_zone
+        self._allocator = fanout.ConnectionAllocator(zones_by_vm, is_settling)
         for link in self._links.values():
-            link.max_connections = self._connection_limit(link.upstream)
+            link.set_max_connections(self._own_limit(link.upstream))
+        self._count_unconnectable()
 
     def set_upstreams(
         self,
@@ -111,19 +139,20 @@
             _link_key(upstream): upstream for upstream in upstreams
         }
         for key, upstream in upstreams_by_key.items():
-            limit = self._connection_limit(upstream)
+            limit = self._own_limit(upstream)
             link = self._links.get(key)
             if link is None:
                 link = self._add_link(upstream, limit)
                 if upstream.zone == self._zone:
                     for _ in range(min(PREOPENED_CONNECTIONS, limit)):
                         link.dial()
-            link.max_connections = limit
+            link.set_max_connections(limit)
         for key in [key for key in self._links if key not in upstreams_by_key]:
             link = self._links[key]
             link.close_all_idle()
             if not link.open_count:
                 del self._links[key]
+        self._count_unconnectable()
 
     def submit(
         self, upstream: serving.Upstream, exchange: _exchanges.Exchange
@@ -131,7 +160,7 @@
         """Sends an exchange's request to a searcher."""
         link = self._links.get(_link_key(upstream))
         if link is None:
-            link = self._add_link(upstream, self._connection_limit(upstream))
+            link = self._add_link(upstream, self._own_limit(upstream))
         self._links_by_token[exchange.token] = link
         link.submit(exchange)
 
@@ -175,16 +204,24 @@
         self._links[_link_key(upstream)] = link
         return link
 
-    def _connection_limit(self, upstream: serving.Upstream) -> int:
+    def _count_unconnectable(self) -> None:
+        self._unconnectable_count = sum(
+            link.max_connections == 0 for link in self._links.values()
+        )
+
+    def _own_limit(self, upstream: serving.Upstream) -> int:
+        return self._connection_limit(self._vm, upstream)
+
+    def _connection_limit(self, vm: str, upstream: serving.Upstream) -> int:
         backend = self._backends.get(upstream.backend)
         declared = DEFAULT_MAX_CONNECTIONS
         if backend is not None:
             declared = backend.max_connections
-        return fanout.connection_limit(
-            declared,
-            self._daemons_by_zone,
-            self._zone,
+        return self._allocator.limit(
+            vm,
+            upstream.id,
             upstream.zone,
+            declared,
             upstream.backend in self._shard_backends,
         )
 
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -341,11 +341,11 @@
         "_connections",
         "_counters",
         "_idle",
+        "_max_connections",
         "_on_malformed",
         "_on_unreachable",
         "_queued",
         "held_bytes_limiter",
-        "max_connections",
         "upstream",
     )
 
@@ -361,7 +361,7 @@
         held_bytes_limiter: limits.HeldBytesLimiter,
     ):
         self.upstream = upstream
-        self.max_connections = max_connections
+        self._max_connections = max_connections
         self.held_bytes_limiter = held_bytes_limiter
         self._on_malformed = on_malformed
         self._codec = codec
@@ -379,18 +379,31 @@
         """Number of connections that are open or being opened."""
         return len(self._connections)
 
+    @property
+    def max_connections(self) -> int:
+        """Limit on connections that are open or being opened."""
+        return self._max_connections
+
+    def set_max_connections(self, limit: int) -> None:
+        """Sets the limit; connections beyond it close once they are idle."""
+        self._max_connections = limit
+        excess = len(self._connections) - limit
+        for connection in self._idle[: max(0, excess)]:
+            connection.abort()
+
     def submit(self, exchange: _exchanges.Exchange) -> None:
         """Sends a request on an idle connection, or queues the exchange.
 
         A queued exchange is served by the next connection that is opened or
-        becomes idle; a new one is opened if the limit allows.
+        becomes idle; a new one is opened if the limit allows. Without an open
+        connection and with a limit of 0, the exchange ends at once, as unsent.
         """
         connection = self._pop_idle(exchange.outbound.is_idempotent)
         if connection is not None:
             connection.assign(exchange)
             return
         self._queued.append(exchange)
-        if len(self._connections) < self.max_connections:
+        if len(self._connections) < self._max_connections:
             self.dial()
         elif self._idle:
             # The idle connections have been idle for too long for this request;
@@ -398,6 +411,8 @@
             oldest = self._idle.pop(0)
             oldest.replace_on_close = True
             oldest.abort()
+        elif not self._connections:
+            self._end_queued()
 
     def dial(self) -> None:
         """Opens one more connection."""
@@ -505,6 +520,9 @@
         if self._queued:
             connection.assign(self._queued.popleft())
             return
+        if len(self._connections) > self._max_connections:
+            connection.abort()
+            return
         connection.idle_since = self._clock.now()
         self._idle.append(connection)
 
@@ -536,11 +554,13 @@
             return
         if (
             connection.replace_on_close
-            and len(self._connections) < self.max_connections
+            and len(self._connections) < self._max_connections
         ):
             self.dial()
-        if self._connections:
-            return
+        if not self._connections:
+            self._end_queued()
+
+    def _end_queued(self) -> None:
         queued, self._queued = self._queued, collections.deque()
         for exchange in queued:
             exchange.deliver(
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -32,6 +32,15 @@
         self.respond = respond
         self.sent = []
         self.cancelled = []
+        # Ids of searchers that this daemon may not connect to.
+        self.unconnectable = set()
+
+    @property
+    def is_subset(self):
+        return bool(self.unconnectable)
+
+    def may_connect(self, upstream):
+        return upstream.id not in self.unconnectable
 
     def submit(self, upstream, exchange):
         self.sent.append((upstream, exchange.outbound))
@@ -264,7 +273,7 @@
         self.delayed_groups = delayed_groups
         self.tokens = set()
 
-    def submit(self, zone, outbound, top, sends, on_result):
+    def submit(self, zone, outbound, top, sends, on_result, min_sends):
         by_group = {send.group: send for send in sends}
         self.tokens.update(send.token for send in sends)
         prompt_groups = [g for g in by_group if g not in self.delayed_groups]
@@ -283,12 +292,67 @@
             deliver_results(self.delayed_groups)
 
         self.task = asyncio.get_running_loop().create_task(deliver_all())
-        return True
+        return []
 
     def cancel(self, tokens):
         return [token for token in tokens if token not in self.tokens]
 
 
+class SingleSendRelay:
+    """Answers sends that the daemon may not make itself; refuses batches."""
+
+    def __init__(self, reachable_zones):
+        self.reachable_zones = reachable_zones
+        self.delegated = []
+
+    def can_reach(self, zone):
+        return zone in self.reachable_zones
+
+    def submit(self, zone, outbound, top, sends, on_result, min_sends):
+        if min_sends > 1 or zone not in self.reachable_zones:
+            return sends
+        for send in sends:
+            self.delegated.append(send.replica.upstream.id)
+            asyncio.get_running_loop().call_soon(
+                on_result, send.token, answered(send.replica.upstream, b"via")
+            )
+        return []
+
+    def cancel(self, tokens):
+        return tokens
+
+
+def subset_harness(reachable_zones):
+    """A daemon that may connect to searchers of two of four shards only."""
+    harness = Harness(
+        lambda upstream, outbound: (0.0, answered(upstream, b"direct")),
+        [SCATTER_ROUTE],
+        [samples.upstream(f"{s}-far", s, zone="b") for s in SHARDS],
+    )
+    harness.pool.unconnectable = {"s0-far", "s1-far"}
+    relay = SingleSendRelay(reachable_zones)
+    harness.dispatcher.set_relay(relay)
+    return harness, relay
+
+
+def test_a_searcher_outside_the_subset_gets_its_request_through_a_peer():
+    harness, relay = subset_harness({"b"})
+    result = harness.serve(make_request())
+    assert result.missing_count == 0
+    assert sorted(relay.delegated) == ["s0-far", "s1-far"]
+    direct = sorted(upstream.id for upstream, _ in harness.pool.sent)
+    assert direct == ["s2-far", "s3-far"]
+
+
+def test_a_request_is_refused_at_once_if_no_peer_can_reach_enough_shards():
+    harness, _ = subset_harness(set())
+    started_at = clocks.Clock().now()
+    result = harness.serve(make_request())
+    assert result.ran == messages.Ran.NO
+    assert clocks.Clock().now() - started_at < 100
+    assert not harness.pool.sent
+
+
 def test_a_relayed_reply_is_merged_even_if_a_hedge_was_answered_first():
     # The peer has pruned its other replies against the relayed reply of s0, so
     # without it the answer would lack records. s3 keeps the request pending
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -3,6 +3,7 @@
 
 from citrondoor import clock as clocks
 from citrondoor import entry
+from citrondoor.entry import _peer_network
 from citrondoor.schema import messages
 from citrondoor.schema import serving
 from tests import serving_samples as samples
@@ -155,6 +156,51 @@
     run_cluster(body)
 
 
+def test_daemons_settle_once_they_know_all_others():
+    async def body(nodes, ports, seeds):
+        await wait_until(
+            lambda: (
+                not any(
+                    node.peers.is_settling(node.clock.now()) for node in nodes
+                )
+            )
+        )
+        zones = {f"vm-{number}": "abc"[number] for number in range(3)}
+        for node in nodes:
+            assert node.peers.recent_zones(node.clock.now()) == zones
+        # A member that goes or comes later is known to the others at once.
+        await nodes[2].stop()
+        assert not nodes[0].peers.is_settling(nodes[0].clock.now())
+
+    run_cluster(body)
+
+
+def test_a_daemon_settles_only_after_its_members_stop_growing():
+    node = Node(0, deployment.free_ports(1), [])
+    peers = node.peers
+    now = node.clock.now()
+    assert peers.is_settling(now)
+    peers._has_received_heartbeat = True
+    late = now + _peer_network.SETTLE_MS - 1
+    peers.members._records["vm-9"] = messages.Member(
+        "vm-9", 1, 0, messages.MemberState.ALIVE, 0
+    )
+    assert peers.is_settling(late)
+    assert peers.is_settling(late + _peer_network.SETTLE_MS - 1)
+    assert not peers.is_settling(late + _peer_network.SETTLE_MS)
+
+
+def test_a_daemon_alone_settles_after_the_discovery_timeout():
+    node = Node(0, deployment.free_ports(1), [])
+    now = node.clock.now()
+    assert node.peers.is_settling(
+        now + _peer_network.DISCOVERY_TIMEOUT_MS - 1000
+    )
+    assert not node.peers.is_settling(
+        now + _peer_network.DISCOVERY_TIMEOUT_MS + 1
+    )
+
+
 def test_a_daemon_restarted_with_an_earlier_clock_rejoins():
     async def body(nodes, ports, seeds):
         await nodes[2].stop()
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -57,6 +57,11 @@
     def __init__(self):
         self.exchanges = {}
         self.cancelled = []
+        # Ids of searchers that peers may not connect to.
+        self.unconnectable = set()
+
+    def may_peer_connect(self, vm, upstream):
+        return upstream.id not in self.unconnectable
 
     def submit(self, upstream, exchange):
         self.exchanges[upstream.id] = exchange
@@ -83,6 +88,7 @@
     def __init__(self):
         self.clock = clocks.ManualClock(1000)
         self.results = {}
+        self.remaining_tokens = []
         self.peer_networks = [
             FakePeerNetwork("vm-a", "a"),
             FakePeerNetwork("vm-b", "b"),
@@ -109,7 +115,7 @@
             for n, upstream in enumerate(upstreams)
         ]
 
-    def submit(self, count=4):
+    def submit(self, count=4, min_sends=_relay.MIN_SENDS_PER_BATCH):
         outbound = links.OutboundRequest(
             b"r1",
             b"GET",
@@ -119,9 +125,16 @@
             self.clock.now() + 500,
             True,
         )
-        return self.relays[0].submit(
-            "b", outbound, 3, self.sends[:count], self.record_result
+        remaining = self.relays[0].submit(
+            "b",
+            outbound,
+            3,
+            self.sends[:count],
+            self.record_result,
+            min_sends,
         )
+        self.remaining_tokens = [send.token for send in remaining]
+        return not remaining
 
     def record_result(self, token, reply):
         assert token not in self.results
@@ -165,6 +178,24 @@
     run(body)
 
 
+def test_a_single_send_is_delegated_if_this_daemon_may_not_connect():
+    async def body(pair):
+        assert pair.submit(count=1, min_sends=1)
+
+    run(body)
+
+
+def test_a_peer_gets_no_sends_to_searchers_it_may_not_connect_to():
+    async def body(pair):
+        pair.pool.unconnectable.add("i-1")
+        assert not pair.submit()
+        assert pair.remaining_tokens == [2]
+        await pair.settle()
+        assert set(pair.pool.exchanges) == {"i-0", "i-2", "i-3"}
+
+    run(body)
+
+
 def test_nothing_is_delegated_to_an_unreachable_peer():
     async def body(pair):
         pair.peer_networks[0].is_connected = False
--- a/tests/fanout/test_connections.py
+++ b/tests/fanout/test_connections.py
@@ -3,19 +3,32 @@
 from hypothesis import strategies
 
 from citrondoor import fanout
-from citrondoor.entry import _peer_network
 
 ZONES = "abcde"
 
 
+def names(daemons_by_zone):
+    """Returns the zone of each of some daemons, named by zone and number."""
+    return {
+        f"{zone}-{number}": zone
+        for zone, count in daemons_by_zone.items()
+        for number in range(count)
+    }
+
+
+def limits_of(
+    zones_by_vm, max_connections, zone, is_shard=True, upstream_id="i-1"
+):
+    allocator = fanout.ConnectionAllocator(zones_by_vm, is_settling=False)
+    return {
+        vm: allocator.limit(vm, upstream_id, zone, max_connections, is_shard)
+        for vm in zones_by_vm
+    }
+
+
 def total_limit(max_connections, daemons_by_zone, zone, is_shard=True):
-    return sum(
-        count
-        * fanout.connection_limit(
-            max_connections, daemons_by_zone, own_zone, zone, is_shard
-        )
-        for own_zone, count in daemons_by_zone.items()
-    )
+    limits = limits_of(names(daemons_by_zone), max_connections, zone, is_shard)
+    return sum(limits.values())
 
 
 @hypothesis.given(
@@ -31,13 +44,10 @@
 def test_all_daemons_together_stay_within_what_a_searcher_accepts(
     daemons_by_zone, zone, max_connections, is_shard
 ):
-    # Each daemon gets at least one connection, so with fewer connections than
-    # daemons the total exceeds what daemons may use.
-    daemon_count = sum(daemons_by_zone.values())
-    budget = max(daemon_count, int(max_connections * 0.85))
-    assert (
-        total_limit(max_connections, daemons_by_zone, zone, is_shard) <= budget
-    )
+    total = total_limit(max_connections, daemons_by_zone, zone, is_shard)
+    assert total <= int(max_connections * 0.85)
+    # Somebody may connect, so each searcher can be reached.
+    assert total >= 1
 
 
 # VMs in each zone of the users' large deployment, without and with those added
@@ -56,28 +66,82 @@
         assert total_limit(120, daemons_by_zone, zone) <= 102
 
 
-def test_daemons_that_have_just_started_stay_within_what_is_accepted():
-    # After a power cut of all, each daemon knows only itself at first and
-    # assumes a number of others, all in its own zone.
-    assumed_count = _peer_network.ASSUMED_MEMBER_COUNT
-    total = sum(
-        count
-        * fanout.connection_limit(
-            120, {own_zone: assumed_count}, own_zone, "a", True
+@pytest.mark.parametrize("known_count", [1, 3, 8])
+def test_daemons_that_have_just_started_stay_within_what_is_accepted(
+    known_count,
+):
+    # After a power cut of all, each daemon knows only itself or a few others at
+    # first, so its share would be a large one.
+    total = 0
+    all_zones = names(LARGE)
+    for vm in all_zones:
+        known = dict(
+            sorted(all_zones.items(), key=lambda item: item[0] != vm)[
+                :known_count
+            ]
         )
-        for own_zone, count in LARGE.items()
-    )
+        allocator = fanout.ConnectionAllocator(known, is_settling=True)
+        total += allocator.limit(vm, "i-1", "a", 120, True)
     assert total <= 120
 
 
+@pytest.mark.parametrize("is_shard", [True, False])
+@pytest.mark.parametrize("zone_size", [15, 43, 900])
+def test_daemons_by_the_hundreds_are_not_offered_more_than_is_accepted(
+    zone_size, is_shard
+):
+    daemons_by_zone = dict.fromkeys("abcdefg", zone_size)
+    assert 100 <= total_limit(120, daemons_by_zone, "a", is_shard) <= 102
+
+
 def test_300_daemons_are_not_offered_more_than_a_searcher_accepts():
-    # One connection for each daemon is already too many: a subset of the
-    # daemons would have to connect, and the others send through relays.
     daemons_by_zone = dict.fromkeys("abcdefg", 43)
     for is_shard in (True, False):
         assert total_limit(120, daemons_by_zone, "a", is_shard) <= 120
 
 
+def test_each_of_300_daemons_connects_to_its_part_of_many_searchers():
+    zones_by_vm = names(dict.fromkeys("abcdefg", 43))
+    allocator = fanout.ConnectionAllocator(zones_by_vm, is_settling=False)
+    counts = {
+        vm: sum(
+            allocator.limit(vm, f"i-{number}", "a", 120, True) > 0
+            for number in range(432)
+        )
+        for vm in zones_by_vm
+    }
+    # All of the searchers' zone serve what others delegate.
+    assert {counts[vm] for vm, zone in zones_by_vm.items() if zone == "a"} == {
+        432
+    }
+    others = [counts[vm] for vm, zone in zones_by_vm.items() if zone != "a"]
+    mean = sum(others) / len(others)
+    assert 0.6 * mean <= min(others) <= max(others) <= 1.5 * mean
+
+
+@hypothesis.given(
+    strategies.dictionaries(
+        strategies.sampled_from(ZONES), strategies.integers(10, 60), min_size=3
+    ),
+    strategies.sampled_from(ZONES),
+    strategies.booleans(),
+    strategies.integers(0, 1000),
+)
+def test_a_daemon_that_leaves_moves_few_others(
+    daemons_by_zone, zone, is_shard, upstream_number
+):
+    # With fewer connections than daemons, the one that left is replaced by one.
+    zones_by_vm = names(daemons_by_zone)
+    upstream_id = f"i-{upstream_number}"
+    before = limits_of(zones_by_vm, 30, zone, is_shard, upstream_id)
+    del zones_by_vm[sorted(zones_by_vm)[upstream_number % len(zones_by_vm)]]
+    after = limits_of(zones_by_vm, 30, zone, is_shard, upstream_id)
+    gained = [vm for vm in after if after[vm] > before[vm]]
+    lost = [vm for vm in after if after[vm] < before[vm]]
+    is_subset = max(before.values()) == 1
+    assert not is_subset or (len(gained) <= 1 and len(lost) <= 1)
+
+
 @hypothesis.given(
     strategies.dictionaries(
         strategies.sampled_from(ZONES), strategies.integers(7, 20), min_size=3
@@ -93,14 +157,14 @@
     # the share of one daemon is larger than the reserve.
     changed = dict(daemons_by_zone)
     changed[changed_zone] = max(0, changed.get(changed_zone, 0) + change)
-    worst = sum(
-        count
-        * max(
-            fanout.connection_limit(120, view, own_zone, zone, True)
-            for view in (daemons_by_zone, changed)
-        )
-        for own_zone, count in daemons_by_zone.items()
-    )
+    views = [
+        limits_of(names(view), 120, zone) for view in (daemons_by_zone, changed)
+    ]
+    worst = sum(max(view.get(vm, 0) for view in views) for vm in views[0])
+    # One that came waits until the others know of it.
+    came = views[1].keys() - views[0].keys()
+    settling = fanout.ConnectionAllocator(names(changed), is_settling=True)
+    worst += sum(settling.limit(vm, "i-1", zone, 120, True) for vm in came)
     assert worst <= 120
 
 
@@ -108,26 +172,29 @@
     # If 33 daemons share 64 connections evenly, each gets one, and a delegated
     # sub-request queues behind a cancelled one.
     daemons_by_zone = {"a": 7, "b": 6, "c": 6, "d": 7, "e": 7}
-    assert fanout.connection_limit(64, daemons_by_zone, "a", "a", True) >= 4
+    assert limits_of(names(daemons_by_zone), 64, "a")["a-0"] >= 4
     assert total_limit(64, daemons_by_zone, "a") <= 64
 
 
 def test_daemons_share_all_connections_if_the_searchers_zone_has_none():
-    assert fanout.connection_limit(20, {"a": 2, "b": 2}, "a", "c", True) == 4
+    limits = limits_of(names({"a": 2, "b": 2}), 20, "c")
+    assert set(limits.values()) == {4}
 
 
 def test_daemons_in_one_zone_share_evenly():
-    assert fanout.connection_limit(20, {"a": 4}, "a", "a", True) == 4
+    assert set(limits_of(names({"a": 4}), 20, "a").values()) == {4}
 
 
 def test_a_back_end_that_is_no_shard_is_shared_evenly_by_all_daemons():
     # With the unequal shares of a shard, daemons of other zones would have one
     # connection to a searcher, which is too few for requests that must not run
     # twice.
-    daemons_by_zone = {"a": 7, "b": 6, "c": 6, "d": 7, "e": 7}
-    same_zone = fanout.connection_limit(120, daemons_by_zone, "a", "a", False)
-    assert (
-        same_zone
-        == fanout.connection_limit(120, daemons_by_zone, "a", "b", False)
-        == 3
-    )
+    zones_by_vm = names({"a": 7, "b": 6, "c": 6, "d": 7, "e": 7})
+    for zone in "ab":
+        limits = limits_of(zones_by_vm, 120, zone, is_shard=False)
+        assert set(limits.values()) == {3}
+
+
+def test_a_daemon_that_is_no_member_may_not_connect():
+    allocator = fanout.ConnectionAllocator({"vm-1": "a"}, is_settling=False)
+    assert allocator.limit("vm-2", "i-1", "a", 120, True) == 0
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -80,12 +80,19 @@
         self.pool = links.HttpPool(
             _searcher_codec.PlatformSearcherCodec(),
             clocks.Clock(),
-            {"a": daemon_count},
             self.unreachable.append,
             lambda upstream, error: self.malformed.append(str(error)),
+            "vm-1",
             "a",
             memory_mb,
         )
+        self.set_daemon_count(daemon_count)
+
+    def set_daemon_count(self, count):
+        self.pool.set_members(
+            {f"vm-{number}": "a" for number in range(1, count + 1)},
+            is_settling=False,
+        )
 
     def send(self, token, is_idempotent=True, target=b"/a"):
         clock = clocks.Clock()
@@ -337,13 +344,55 @@
         harness.pool.set_upstreams(
             [harness.upstream], {"store": backend}, frozenset()
         )
-        harness.pool.set_daemon_counts({"a": 5})
+        harness.set_daemon_count(5)
         (link,) = harness.pool._links.values()
         return link.max_connections
 
     assert 1 <= 5 * run(answer, body) <= 31
 
 
+def test_connections_beyond_a_lowered_limit_close_once_they_are_idle():
+    async def behave(request, writer):
+        await asyncio.sleep(0.02)
+        writer.write(encode_answer(request))
+
+    async def body(harness):
+        first = [harness.send(token) for token in range(4)]
+        await asyncio.gather(*first)
+        await asyncio.sleep(0.01)
+        assert harness.pool.open_count == 4
+        busy = harness.send(5)
+        harness.set_daemon_count(7)
+        assert (await busy).outcome == OUTCOME.ANSWERED
+        await asyncio.sleep(0.05)
+        return harness.pool.open_count
+
+    # 13 of the 16 connections that are accepted are divided by 7 daemons.
+    assert run(behave, body) == 1
+
+
+def test_a_searcher_outside_the_subset_gets_no_connection():
+    async def body(harness):
+        harness.set_daemon_count(200)
+        near = [
+            samples.upstream(f"i-{number}", port=harness.upstream.port)
+            for number in range(100)
+        ]
+        harness.pool.set_upstreams(near, {}, frozenset())
+        allowed = [u for u in near if harness.pool.may_connect(u)]
+        assert harness.pool.is_subset
+        # Each searcher accepts 13 of the 200 daemons, so of 100 searchers 6.5
+        # accept this one on average.
+        assert 1 <= len(allowed) <= 20
+        await asyncio.sleep(0.05)
+        assert harness.pool.open_count == len(allowed)
+        harness.upstream = next(u for u in near if u not in allowed)
+        result = await harness.send(1)
+        assert result.outcome == OUTCOME.UNSENT
+
+    run(answer, body)
+
+
 def test_connections_to_the_own_zone_are_open_before_the_first_request():
     async def behave(request, writer):
         writer.write(encode_answer(request))
@@ -365,7 +414,7 @@
 
 
 def test_a_non_idempotent_request_gets_a_new_connection_at_the_limit():
-    # Guards against a request that is queued forever. With 40 daemons, each may
+    # Guards against a request that is queued forever. With 13 daemons, each may
     # have one connection. If that has been idle for too long to carry the
     # request, it must be closed to make room for a new one.
     async def behave(request, writer):
@@ -373,7 +422,7 @@
 
     async def body():
         searcher = Searcher(behave)
-        harness = PoolHarness(searcher, await searcher.start(), daemon_count=40)
+        harness = PoolHarness(searcher, await searcher.start(), daemon_count=13)
         harness.pool.set_upstreams([harness.upstream], {}, frozenset())
         await asyncio.sleep(0.05)
         (link,) = harness.pool._links.values()
@@ -401,7 +450,7 @@
 
     async def body():
         searcher = Searcher(behave)
-        harness = PoolHarness(searcher, await searcher.start(), daemon_count=40)
+        harness = PoolHarness(searcher, await searcher.start(), daemon_count=13)
         first = harness.send(1)
         await asyncio.sleep(0.02)
         second = harness.send(2)
