Compress long messages between daemons

Cause: lists of members and routes repeat names, zones and addresses.

Change: a daemon says in its hello that it can read compressed messages. Between two that can, messages of 512 bytes and more are compressed by zlib, with a bound on what comes out; older daemons get plain ones. A list of 64 members takes a third of its bytes at most (test). The test of a peer that does not read sends random bytes now, as the repeated ones it sent would be compressed; its bound is unchanged.

--- a/citrondoor/codecs/peers.py
+++ b/citrondoor/codecs/peers.py
@@ -10,6 +10,7 @@
 import hashlib
 import hmac
 import struct
+import zlib
 
 import thrift.protocol.TCompactProtocol
 import thrift.transport.TTransport
@@ -19,6 +20,13 @@
 LENGTH_BYTES = 4
 MAC_BYTES = 16
 NONCE_BYTES = 16
+# Shorter messages, such as heartbeats without updates, gain nothing.
+MIN_COMPRESSED_BYTES = 512
+# Names and addresses in lists of members, searchers and routes repeat so much
+# that the fastest level already removes most of the bytes.
+_COMPRESSION_LEVEL = 1
+_PLAIN = b"\0"
+_COMPRESSED = b"\1"
 _LENGTH = struct.Struct(">I")
 _SEQUENCE = struct.Struct(">Q")
 _PROTOCOL_FACTORY = (
@@ -53,6 +61,46 @@
     return message
 
 
+def compress(message: bytes) -> bytes:
+    """Returns an encoded message for a peer that accepts compression.
+
+    A leading byte says whether the rest is compressed.
+    """
+    if len(message) >= MIN_COMPRESSED_BYTES:
+        compressed = zlib.compress(message, _COMPRESSION_LEVEL)
+        if len(compressed) < len(message):
+            return _COMPRESSED + compressed
+    return _PLAIN + message
+
+
+def decompress(payload: bytes, max_bytes: int) -> bytes:
+    """Returns the encoded message that `compress` was given.
+
+    Args:
+      payload: Result of `compress`.
+      max_bytes: Maximum size of the message.
+
+    Raises:
+      errors.FrameError: The payload is malformed or the message too long.
+    """
+    if payload[:1] == _PLAIN:
+        return payload[1:]
+    decompressor = zlib.decompressobj()
+    try:
+        message = decompressor.decompress(payload[1:], max_bytes)
+    except zlib.error as error:
+        raise errors.FrameError(
+            f"cannot decompress a message of {len(payload)} bytes: {error};"
+            " check that the peer is a daemon of a compatible version"
+        ) from error
+    if payload[:1] != _COMPRESSED or not decompressor.eof:
+        raise errors.FrameError(
+            f"a compressed message of {len(payload)} bytes is malformed, or"
+            f" longer than the {max_bytes} bytes that are allowed"
+        )
+    return message
+
+
 class FrameAuthenticator:
     """Computes the MACs of the frames in one direction of a connection.
 
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -125,9 +125,10 @@
             transport.abort()
         if transport.is_closing():
             return
-        data = codec.encode_frame(
-            self._send_authenticator, codec.encode(envelope)
-        )
+        payload = codec.encode(envelope)
+        if self.hello.accepts_compression:
+            payload = codec.compress(payload)
+        data = codec.encode_frame(self._send_authenticator, payload)
         self.bytes_sent += len(data)
         self.writer.write(data)
 
@@ -137,6 +138,9 @@
             self._reader, self._receive_authenticator, self._max_frame_bytes
         )
         self.bytes_received += len(payload)
+        # Both sides compress if both accept it, and this one always does.
+        if self.hello.accepts_compression:
+            payload = codec.decompress(payload, self._max_frame_bytes)
         return codec.decode(messages.Envelope, payload)
 
 
@@ -153,7 +157,7 @@
       errors.FrameError: The peer sent a frame that is too long or malformed.
     """
     nonce = secrets.token_bytes(codec.NONCE_BYTES)
-    own = messages.Hello(settings.vm, settings.incarnation, nonce)
+    own = messages.Hello(settings.vm, settings.incarnation, nonce, True)
     own_data = codec.encode(own)
     writer.write(codec.encode_plain_frame(own_data))
     peer_data = await codec.read_plain_frame(reader, MAX_HANDSHAKE_BYTES)
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -168,6 +168,8 @@
   1: required string vm
   2: required i64 incarnation
   3: required binary nonce
+  // The sender can read compressed messages. Unset by daemons of older versions.
+  4: optional bool accepts_compression
 }
 
 struct Proof { 1: required binary mac }
--- a/tests/codecs/test_peers.py
+++ b/tests/codecs/test_peers.py
@@ -97,3 +97,59 @@
             await peers.read_plain_frame(reader, MAX_BYTES)
 
     asyncio.run(body())
+
+
+@hypothesis.given(strategies.binary(max_size=2000), strategies.booleans())
+def test_messages_are_decompressed_as_they_were_compressed(data, is_repeated):
+    message = data * 9 if is_repeated else data
+    payload = peers.compress(message)
+    assert peers.decompress(payload, 20_000) == message
+    assert len(payload) <= len(message) + 1
+
+
+def test_a_list_of_members_takes_a_third_of_its_bytes_at_most():
+    members = [
+        messages.Member(
+            f"front-tagging-bench-{n}",
+            1_770_811_000_000 + 37 * n,
+            2,
+            messages.MemberState.ALIVE,
+            0,
+            serving.EntryPlace(
+                f"10.7.0.{n}", 8104, 7380, "tagging-bench", "north-mill", True
+            ),
+        )
+        for n in range(64)
+    ]
+    beat = messages.EntryBeat(
+        None, members, serving.ViewStamp(1, 2, 3), 4, True
+    )
+    message = peers.encode(beat)
+    assert 3 * len(peers.compress(message)) <= len(message)
+
+
+@pytest.mark.parametrize(
+    "payload",
+    [
+        b"",
+        b"\2x",
+        b"\1",
+        b"\1no deflate stream",
+        peers.compress(bytes(2000))[:-1],
+        # Ten thousand times as long as the frame that brings it.
+        peers.compress(bytes(4_000_000)),
+    ],
+)
+def test_malformed_or_long_compressed_messages_are_an_error(payload):
+    with pytest.raises(errors.FrameError, match="of a comp|malformed"):
+        peers.decompress(payload, MAX_BYTES)
+
+
+@hypothesis.given(strategies.integers(0, 60), strategies.binary(max_size=4))
+def test_corrupt_compressed_messages_raise_no_other_error(position, inserted):
+    payload = peers.compress(b"".join(b"%d " % n for n in range(400)))
+    data = payload[:position] + inserted + payload[position + 1 :]
+    try:
+        peers.decompress(data, MAX_BYTES)
+    except errors.FrameError:
+        pass
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -1,4 +1,5 @@
 import asyncio
+import random
 
 import pytest
 
@@ -97,6 +98,37 @@
     run(scenario)
 
 
+def send_long_reason(hello_of_old_version=None):
+    """Returns the bytes that a link sends for a long repetitive message."""
+    sent = []
+
+    async def scenario(pair):
+        link = pair.dial()
+        await pair.link_up.wait()
+        if hello_of_old_version is not None:
+            # As if the handshake had been with an older version.
+            hello_of_old_version(link._channel)
+            channel = pair.server._channels["vm-0"]
+            hello_of_old_version(channel)
+        reason = messages.Body(refused=messages.Refused("x" * 3000))
+        with pytest.raises(errors.PeerRefusedError, match="only adverts"):
+            await link.request(reason)
+        sent.append(link.bytes_sent)
+        link.close()
+
+    run(scenario)
+    return sent[0]
+
+
+def test_long_messages_are_compressed_if_both_peers_accept_that():
+    assert send_long_reason() < 300
+
+    def forget(channel):
+        channel.hello.accepts_compression = None
+
+    assert send_long_reason(forget) > 3000
+
+
 def test_request_on_closed_link_fails_immediately():
     async def scenario(pair):
         link = pair.dial()
@@ -222,7 +254,11 @@
         link = pair.dial(connector=connect)
         await pair.link_up.wait()
         writers[0].transport.pause_reading()
-        body = messages.Body(refused=messages.Refused("x" * 1_000_000))
+        # Random bytes, which compression leaves as they are.
+        reply = messages.RelayReply(
+            1, 1, 200, b"", random.Random(1).randbytes(1_000_000), index=0
+        )
+        body = messages.Body(relay_replies=messages.RelayReplies([reply]))
         # The dialing side proves its key first, so it may be up earlier.
         while not pair.server.notify("vm-0", body):
             await asyncio.sleep(0.001)
