Ask whether a peer may connect to the very searcher

Cause: a searcher counted as reachable if any peer of its zone was, also one that may not connect to it; such sends would end as unsent and use up the limit of retries.

--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -325,20 +325,15 @@
         usable = self._usable_upstreams_in(route.definition.regions)
         if not self._pool.is_subset:
             return usable
-        is_relayable = self._top_if_relayable(route) is not None
-        is_zone_reachable: dict[str, bool] = {}
-
-        def can_send(upstream: serving.Upstream) -> bool:
-            if self._pool.may_connect(upstream):
-                return True
-            zone = upstream.zone
-            if zone not in is_zone_reachable:
-                is_zone_reachable[zone] = (
-                    is_relayable and self._relay.can_reach(zone)
-                )
-            return is_zone_reachable[zone]
-
-        return lambda backend: [u for u in usable(backend) if can_send(u)]
+        may_connect = self._pool.may_connect
+        if self._top_if_relayable(route) is None:
+            return lambda backend: [
+                u for u in usable(backend) if may_connect(u)
+            ]
+        can_reach = self._relay.reach_checker()
+        return lambda backend: [
+            u for u in usable(backend) if may_connect(u) or can_reach(u)
+        ]
 
     def _usable_upstreams_in(self, regions: list[str]):
         usable = self._view.registry.usable_upstreams
--- a/citrondoor/entry/_relay.py
+++ b/citrondoor/entry/_relay.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import functools
 import itertools
 import random
 from collections.abc import Callable
@@ -19,6 +20,7 @@
 from citrondoor.entry import _peer_network
 from citrondoor.entry import _view
 from citrondoor.schema import messages
+from citrondoor.schema import serving
 
 # Fewer sends to a zone than this go directly: a single one saves nothing.
 MIN_SENDS_PER_BATCH = 2
@@ -140,9 +142,16 @@
         """Sets the pool that sends, and knows which peers may connect."""
         self._pool = pool
 
-    def can_reach(self, zone: str) -> bool:
-        """Returns whether a peer can send to searchers of a zone."""
-        return bool(self._candidates(zone))
+    def reach_checker(self) -> Callable[[serving.Upstream], bool]:
+        """Returns a function that tells if a peer can send to a searcher now.
+
+        It looks up the peers of each zone once, so it is for one request.
+        """
+        candidates = functools.cache(self._candidates)
+        return lambda upstream: any(
+            self._pool.may_peer_connect(peer, upstream)
+            for peer in candidates(upstream.zone)
+        )
 
     def submit(
         self,
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -196,6 +196,18 @@
     run(body)
 
 
+def test_a_searcher_can_be_reached_if_a_peer_of_its_zone_may_connect():
+    async def body(pair):
+        pair.pool.unconnectable.add("i-1")
+        can_reach = pair.relays[0].reach_checker()
+        upstreams = [send.replica.upstream for send in pair.sends]
+        assert [can_reach(u) for u in upstreams] == [True, False, True, True]
+        other_zone = samples.upstream("i-9", "s9", zone="c")
+        assert not pair.relays[0].reach_checker()(other_zone)
+
+    run(body)
+
+
 def test_nothing_is_delegated_to_an_unreachable_peer():
     async def body(pair):
         pair.peer_networks[0].is_connected = False
