Close connections of peers that are accepted while the server closes

Cause: a task that is cancelled before it has begun never reaches its finally clause, and a connection accepted just before the server closed was served after it. Seen once as an unclosed transport at the end of tests/entry beside 12 busy processes.

Change: the connection is closed when its task is done, and at once if the server does not listen any more. A test failed first.

--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -457,11 +457,18 @@
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if not self._server.is_serving():
+            # Accepted just before `close`, which could not cancel its task.
+            writer.transport.abort()
+            return
         # asyncio logs the cancellation of tasks that it creates for connections
         # as an error, so this creates the task itself.
         task = asyncio.create_task(self._serve(reader, writer))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        # Not at the end of the task itself, which may be cancelled before it
+        # has begun.
+        task.add_done_callback(lambda _: writer.transport.abort())
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -477,8 +484,6 @@
         except* Exception:
             # Includes `TimeoutError`s of the handshake's time limit.
             self._on_protocol_error()
-        finally:
-            writer.transport.abort()
 
     async def _serve_channel(self, channel: _Channel) -> None:
         name = channel.hello.vm
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -72,6 +72,19 @@
             await asyncio.sleep(0.02)
 
 
+async def wait_closed():
+    """Waits until the links that were closed have sent what was buffered.
+
+    Else a busy machine leaves transports open at the end of the event loop.
+    """
+    # The event loop itself keeps one socket registered.
+    sockets = asyncio.get_running_loop()._selector.get_map()
+    await wait_until(
+        lambda: len(asyncio.all_tasks()) == 1 and len(sockets) <= 1
+    )
+    await asyncio.sleep(0)
+
+
 def run_cluster(body, count=3, seeds_of=lambda ports: ports[:1]):
     async def run_all():
         ports = deployment.free_ports(count + 1)
@@ -93,6 +106,7 @@
             for node in nodes:
                 if not node.tick_task.cancelled():
                     await node.stop()
+            await wait_closed()
 
     asyncio.run(run_all())
 
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -272,3 +272,38 @@
         link.close()
 
     run(scenario)
+
+
+class CancellingServer(links.PeerServer):
+    """Closes each connection before its task has begun."""
+
+    def _accept(self, reader, writer):
+        super()._accept(reader, writer)
+        for task in self._tasks:
+            task.cancel()
+
+
+class StoppedServer(links.PeerServer):
+    """Stops listening after a connection is accepted, before it is served."""
+
+    def _accept(self, reader, writer):
+        self._server.close()
+        super()._accept(reader, writer)
+
+
+@pytest.mark.parametrize("server_type", [CancellingServer, StoppedServer])
+def test_a_connection_accepted_as_the_server_closes_is_closed(server_type):
+    # Its task was not cancelled, or ended before it could close the connection.
+    async def body():
+        server = server_type(
+            make_settings("vm-1"), increment_revision, lambda: None
+        )
+        await server.start("127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        async with asyncio.timeout(2):
+            with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
+                await reader.readexactly(1)
+        writer.close()
+        await server.close()
+
+    asyncio.run(body())
