Log when a daemon knows the other daemons

From then on it has its share of connections to each searcher instead of one; without the line, requests that waited for a connection just after a start could not be explained.

--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -224,6 +224,13 @@
         )
         is_discovering = now - self._started_at < DISCOVERY_TIMEOUT_MS
         self._is_settled = is_stable or not is_discovering
+        if self._is_settled:
+            self._log.write(
+                "members_settled",
+                members=count,
+                after_ms=now - self._started_at,
+                has_heard_peer=self._has_received_heartbeat,
+            )
         return not self._is_settled
 
     def _recent_vms(self, now: int) -> list[str]:
