--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -86,6 +86,27 @@
     assert set(cluster.record_counts.values()) == {1}
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_views_agree_after_daemons_restart_while_updates_spread(seed):
+    # A daemon that restarts has forgotten what its peers have sent to it.
+    cluster = FakeCluster(40)
+    rng = random.Random(seed)
+    incarnations = collections.Counter(cluster.names)
+    for _ in range(6):
+        for name in rng.sample(cluster.names, 8):
+            incarnations[name] += 1
+            cluster.start(name, incarnations[name])
+            for members in cluster.members_of.values():
+                members.forget_sent(name)
+        cluster.run(HEARTBEAT_MS)
+    cluster.run(2000)
+    for members in cluster.members_of.values():
+        assert members.live_vms() == sorted(cluster.names)
+        assert incarnations == {
+            member.vm: member.incarnation for member in members.all_members
+        }
+
+
 def test_updates_that_may_have_been_lost_are_sent_again():
     cluster = FakeCluster(3)
     members = cluster.members_of["vm-0"]
