--- a/tests/fanout/test_connections.py
+++ b/tests/fanout/test_connections.py
@@ -170,7 +170,7 @@
         limits_of(names(view), 120, zone) for view in (daemons_by_zone, changed)
     ]
     worst = sum(max(view.get(vm, 0) for view in views) for vm in views[0])
-    # One that came waits until the others know of it.
+    # One that came has one connection until it hears of another daemon.
     came = views[1].keys() - views[0].keys()
     settling = fanout.ConnectionAllocator(names(changed), is_settling=True)
     worst += sum(settling.limit(vm, "i-1", zone, 120, True) for vm in came)
