Report whose read of the store sets the age of a view

Change: `summary` names the VM whose read set the age; a gauge gives the age. Result: a test each; no decision changes.

--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -25,9 +25,11 @@
       pool: Has the counters of connections to searchers.
       relay: Has the counters of sends through peers.
       log: Has the counter of dropped lines.
+      clock: Clock of the daemon.
     """
 
     __slots__ = (
+        "_clock",
         "_dispatcher",
         "_log",
         "_metrics",
@@ -44,7 +46,9 @@
         pool: links.HttpPool,
         relay: entry.Relay,
         log: entry.DecisionLog,
+        clock: clocks.Clock,
     ):
+        self._clock = clock
         self._settings = settings
         self._dispatcher = dispatcher
         self._pool = pool
@@ -72,6 +76,11 @@
             "Daemons that are believed alive.",
             lambda: len(peers.live_vms()),
         )
+        metrics.add_gauge(
+            "citrondoor.store.age",
+            "Age of the newest read of the store in the view, ms.",
+            lambda: peers.store_age_ms(self._clock.now()),
+        )
         metrics.add_gauge(
             "citrondoor.searcher.connections",
             "Connections to searchers.",
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -226,6 +226,7 @@
             self._pool,
             self._relay,
             self._log,
+            self._clock,
         )
         self._caller_server = links.HttpServer(
             self._adapter.make_caller_handler(
@@ -313,6 +314,7 @@
                 "summary",
                 members=self._peers.live_vms(),
                 store_age_ms=self._peers.store_age_ms(self._clock.now()),
+                store_read_by=self._peers.store_read_by,
                 version=self._view.routes.version,
                 upstream_revision=self._view.registry.revision,
                 **self._metrics.summary(),
--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -90,6 +90,7 @@
         "_server",
         "_settings",
         "_started_at",
+        "_store_read_by",
         "_tasks",
         "_view",
         "_view_requested_at",
@@ -137,6 +138,7 @@
         self._link_down_listeners: list[Callable[[str], None]] = []
         self._outage_detector = discovery.StoreOutageDetector()
         self._started_at = clock.now()
+        self._store_read_by = ""
         self._last_alive_at: dict[str, int] = {}
         self._has_received_heartbeat = False
         self._is_settled = False
@@ -151,6 +153,11 @@
         """States and endpoints of the known daemons."""
         return self._members
 
+    @property
+    def store_read_by(self) -> str:
+        """VM whose report set `store_age_ms`, or this one; empty at first."""
+        return self._store_read_by
+
     @property
     def link_count(self) -> int:
         """Number of links that are up or being opened."""
@@ -324,12 +331,16 @@
         read_at = self._outage_detector.last_read_at
         return now - (self._started_at if read_at is None else read_at)
 
-    def record_store_read(self, read_at: int) -> None:
+    def record_store_read(self, read_at: int, reported_by: str = "") -> None:
         """Records that this daemon or a peer has read the store.
 
         Args:
           read_at: Time of the read, by this daemon's clock.
+          reported_by: Peer that reported the read; empty for an own read.
         """
+        last_read_at = self._outage_detector.last_read_at
+        if last_read_at is None or read_at > last_read_at:
+            self._store_read_by = reported_by or self._settings.vm
         if self._outage_detector.record_read(read_at):
             self._log.write("store_outage_ended", read_at=read_at)
             self._view.registry.on_store_recovered(self._clock.now())
@@ -456,7 +467,7 @@
                 self._view_requested_at = -VIEW_REQUEST_GAP_MS
         stamp = self._view.stamp
         if stamp.upstream_revision >= heartbeat.stamp.upstream_revision:
-            self.record_store_read(read_at)
+            self.record_store_read(read_at, link.name)
 
     async def _update_view(self, link: links.PeerLink) -> None:
         """Requests what a peer knows of routes and searchers, and applies it.
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -408,3 +408,14 @@
         )
 
     run_cluster(body, count=20)
+
+
+def test_the_newest_read_names_the_daemon_that_reported_it():
+    daemon = SingleDaemon()
+    assert daemon.peers.store_read_by == ""
+    daemon.read(UPSTREAM)
+    own = daemon.peers.store_read_by
+    daemon.peers.record_store_read(daemon.clock.now() - 10, "older")
+    assert daemon.peers.store_read_by == own == test_dispatcher.SETTINGS.vm
+    daemon.peers.record_store_read(daemon.clock.now() + 10, "newer")
+    assert daemon.peers.store_read_by == "newer"
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -170,7 +170,8 @@
                 )
             except OSError:
                 return False
-            return b"citrondoor_requests_total" in response.body
+            names = (b"citrondoor_requests_total", b"citrondoor_store_age")
+            return all(name in response.body for name in names)
 
         await deployment.wait_until(is_served)
 
