Don't take the start of a daemon for a read of the store

What callers saw (suspected): a request handled by an old configuration, although its VM could reach the store. Cause: until its first view, a daemon reports the time since its start as the age of its view. Its revision is -1, so each peer holds as much and recorded a read at that time. While daemons restart one after another, no view ages past 1.7 s, and if the readers are frozen or cut off, no other daemon reads the store. Evidence: the new test failed before: a view of 60 s had an age of 845 ms after two heartbeats with a daemon that had read nothing. Fix: the age of a peer counts only if the peer has a view.

--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -465,8 +465,13 @@
                 await self._update_view(link)
             finally:
                 self._view_requested_at = -VIEW_REQUEST_GAP_MS
+        # Before its first view, a peer reports the time since its start.
+        has_view = heartbeat.stamp.upstream_revision >= 0
         stamp = self._view.stamp
-        if stamp.upstream_revision >= heartbeat.stamp.upstream_revision:
+        if (
+            has_view
+            and stamp.upstream_revision >= heartbeat.stamp.upstream_revision
+        ):
             self.record_store_read(read_at, link.name)
 
     async def _update_view(self, link: links.PeerLink) -> None:
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -333,7 +333,8 @@
   1: optional Member sender
   2: required list<Member> news
   3: required serving.ViewStamp stamp
-  // Time since the last read of the store by any daemon, as known here, ms.
+  // Time since the last read of the store by any daemon, as known here, ms. It
+  // counts from the sender's start while `stamp.upstream_revision` is negative.
   4: required i64 store_age_ms
   // The sender knows no other member yet; the reply lists all members.
   5: required bool joining
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -419,3 +419,24 @@
     assert daemon.peers.store_read_by == own == test_dispatcher.SETTINGS.vm
     daemon.peers.record_store_read(daemon.clock.now() + 10, "newer")
     assert daemon.peers.store_read_by == "newer"
+
+
+def test_a_restarted_daemon_does_not_make_a_view_count_as_up_to_date(
+    monkeypatch,
+):
+    # The restarted daemon has read nothing, and its view is still on its way.
+    async def keep_view(self, link):
+        pass
+
+    monkeypatch.setattr(_peer_network.PeerNetwork, "_update_view", keep_view)
+
+    async def body(nodes, ports, seeds):
+        node = nodes[0]
+        contents = entry.StoreContents(7, samples.route_set(3), [], [])
+        read_at = node.clock.now() - 60_000
+        node.peers.record_store_read(read_at)
+        node.view.apply_store_contents(contents, read_at)
+        await asyncio.sleep(2 * _peer_network.HEARTBEAT_INTERVAL_MS / 1000)
+        assert node.peers.store_age_ms(node.clock.now()) >= 60_000
+
+    run_cluster(body, count=2)
