Count the age of store contents from the start of their read

What callers saw (suspected): a request handled by an old configuration. Cause: the time of a read was taken after its answer was in. A VM that is suspended between two pages, or a slow link, makes the contents older than the age that the daemon reports, and peers take the age over. A time limit does not help: it does not count the suspension. Evidence: the new test failed before: 8 s of suspension counted as none. Fix: the age counts from the start. The end of an outage of the store still counts from the end of a read, since the outage may have lasted until then.

--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -90,6 +90,7 @@
         "_server",
         "_settings",
         "_started_at",
+        "_store_read_at",
         "_store_read_by",
         "_tasks",
         "_view",
@@ -138,6 +139,7 @@
         self._link_down_listeners: list[Callable[[str], None]] = []
         self._outage_detector = discovery.StoreOutageDetector()
         self._started_at = clock.now()
+        self._store_read_at: int | None = None
         self._store_read_by = ""
         self._last_alive_at: dict[str, int] = {}
         self._has_received_heartbeat = False
@@ -328,21 +330,28 @@
 
         Before the first read it is the time since the start of the daemon.
         """
-        read_at = self._outage_detector.last_read_at
+        read_at = self._store_read_at
         return now - (self._started_at if read_at is None else read_at)
 
-    def record_store_read(self, read_at: int, reported_by: str = "") -> None:
+    def record_store_read(
+        self, read_at: int, reported_by: str = "", ended_at: int | None = None
+    ) -> None:
         """Records that this daemon or a peer has read the store.
 
         Args:
-          read_at: Time of the read, by this daemon's clock.
+          read_at: Start of the read, by this daemon's clock: what it returned
+            may be as old.
           reported_by: Peer that reported the read; empty for an own read.
+          ended_at: End of the read, if known. An outage of the store may have
+            lasted until then.
         """
-        last_read_at = self._outage_detector.last_read_at
-        if last_read_at is None or read_at > last_read_at:
+        if self._store_read_at is None or read_at > self._store_read_at:
+            self._store_read_at = read_at
             self._store_read_by = reported_by or self._settings.vm
-        if self._outage_detector.record_read(read_at):
-            self._log.write("store_outage_ended", read_at=read_at)
+        if ended_at is None:
+            ended_at = read_at
+        if self._outage_detector.record_read(ended_at):
+            self._log.write("store_outage_ended", read_at=ended_at)
             self._view.registry.on_store_recovered(self._clock.now())
 
     def tick(self, now: int) -> None:
--- a/citrondoor/entry/_store_poller.py
+++ b/citrondoor/entry/_store_poller.py
@@ -134,6 +134,7 @@
 
     async def _read(self) -> bool:
         self.read_count += 1
+        started_at = self._clock.now()
         try:
             contents = await self._store.read()
         except errors.PlatformError as error:
@@ -143,7 +144,7 @@
         if self._is_store_lost:
             self._is_store_lost = False
             self._log.write("store_regained", revision=contents.revision)
-        self._peers.record_store_read(now)
+        self._peers.record_store_read(started_at, ended_at=now)
         self._view.apply_store_contents(contents, now)
         return True
 
--- a/tests/entry/test_store_poller.py
+++ b/tests/entry/test_store_poller.py
@@ -11,11 +11,14 @@
 class FakePeerNetwork:
     """Stands in for the peer network of a cluster of one daemon."""
 
+    def __init__(self):
+        self.read_at = None
+
     def store_age_ms(self, now):
         return 0
 
-    def record_store_read(self, read_at):
-        pass
+    def record_store_read(self, read_at, reported_by="", ended_at=None):
+        self.read_at = read_at
 
     def live_vms(self):
         return [test_dispatcher.SETTINGS.vm]
@@ -103,3 +106,25 @@
     is_complete, read_count = asyncio.run(body())
     assert is_complete
     assert read_count <= _store_poller.MAX_CONCURRENT_FIRST_READS
+
+
+def test_contents_are_as_old_as_the_start_of_their_read():
+    # The VM is suspended between two pages of the listing.
+    clock = clocks.ManualClock(now=1000)
+    peers = FakePeerNetwork()
+
+    class SuspendedStore:
+        async def read(self):
+            clock.advance(8000)
+            return make_contents(1)
+
+    poller = entry.StorePoller(
+        entry.LocalView(lambda kind, detail: None, {}),
+        SuspendedStore(),
+        peers,
+        test_dispatcher.SETTINGS,
+        clock,
+        test_dispatcher.FakeLog(),
+    )
+    assert asyncio.run(poller._read())
+    assert peers.read_at == 1000
