Compare routes and evacuated zones before a view counts as up to date

What callers saw (suspected): a request handled by an old configuration. Cause: a daemon recorded the read of a peer once it knew the peer's revision of the searchers, although the peer's routes were newer. The revision is ahead of the routes if the contents of a read get the routes of an older one, or keep those that could be decoded last. Fix: all three counters of the peer's view must be known.

--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -476,11 +476,7 @@
                 self._view_requested_at = -VIEW_REQUEST_GAP_MS
         # Before its first view, a peer reports the time since its start.
         has_view = heartbeat.stamp.upstream_revision >= 0
-        stamp = self._view.stamp
-        if (
-            has_view
-            and stamp.upstream_revision >= heartbeat.stamp.upstream_revision
-        ):
+        if has_view and not _is_newer(heartbeat.stamp, self._view.stamp):
             self.record_store_read(read_at, link.name)
 
     async def _update_view(self, link: links.PeerLink) -> None:
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -440,3 +440,25 @@
         assert node.peers.store_age_ms(node.clock.now()) >= 60_000
 
     run_cluster(body, count=2)
+
+
+def test_a_view_with_older_routes_than_a_peers_is_not_up_to_date(monkeypatch):
+    # The peer's routes are still on their way.
+    async def keep_view(self, link):
+        pass
+
+    monkeypatch.setattr(_peer_network.PeerNetwork, "_update_view", keep_view)
+
+    async def body(nodes, ports, seeds):
+        for node, version in zip(nodes, (3, 4), strict=True):
+            read_at = node.clock.now() - (0 if version == 4 else 60_000)
+            node.peers.record_store_read(read_at)
+            contents = entry.StoreContents(
+                7, samples.route_set(version), [], []
+            )
+            node.view.apply_store_contents(contents, read_at)
+        await asyncio.sleep(2 * _peer_network.HEARTBEAT_INTERVAL_MS / 1000)
+        behind = nodes[0]
+        assert behind.peers.store_age_ms(behind.clock.now()) >= 60_000
+
+    run_cluster(body, count=2)
