Keep the configurations of overlapping reads apart

What callers saw (suspected): a request handled by an old configuration. Cause: reads before the first view overlap and shared one decoded configuration. An older read that was answered between two pages of a newer one replaced its routes: contents with the newer revision and the older routes. Fix: each read returns the configuration of its own listing; only a newer one replaces the one that is kept for the next read.

--- a/citrondoor/entry/_messages.py
+++ b/citrondoor/entry/_messages.py
@@ -90,8 +90,8 @@
     Args:
       revision: Revision of the store when the read began; later changes may be
         included.
-      routes: The newest configuration that could be decoded, in this read or an
-        earlier one; None if there is none.
+      routes: The configuration, or if it cannot be decoded, the newest one that
+        could be, in an earlier read; None if there is none.
       upstreams: Searchers whose entries could be decoded.
       evacuated_zones: Availability zones whose searchers get no requests.
     """
--- a/citrondoor/platform/_store.py
+++ b/citrondoor/platform/_store.py
@@ -45,7 +45,7 @@
         once for each revision.
     """
 
-    __slots__ = ("_client", "_on_unreadable", "_reported", "_routes")
+    __slots__ = ("_client", "_newest_routes", "_on_unreadable", "_reported")
 
     def __init__(self, settings: serving.StoreSettings, on_unreadable):
         self._client = links.JsonClient(
@@ -57,7 +57,7 @@
         # Revision at which each unreadable key was last reported.
         self._reported: dict[str, int] = {}
         # Revision and routes of the newest readable configuration.
-        self._routes: tuple[int, serving.RouteSet | None] = (-1, None)
+        self._newest_routes: tuple[int, serving.RouteSet | None] = (-1, None)
 
     @property
     def read_count(self) -> int:
@@ -109,7 +109,6 @@
                 f"a listing of more than {_MAX_PAGES} pages"
             )
         contents.revision = revision
-        contents.routes = self._routes[1]
         return contents
 
     def _add_item(self, item: dict, contents: entry.StoreContents) -> None:
@@ -127,13 +126,23 @@
             contents.evacuated_zones.append(
                 key.removeprefix(_EVACUATION_PREFIX)
             )
-        elif key == _CONFIG_KEY and item["rev"] != self._routes[0]:
-            try:
-                routes = decode_routes(_decode_value(item))
-            except (KeyError, TypeError, ValueError) as error:
-                self._report_unreadable(item, error)
-                return
-            self._routes = (item["rev"], routes)
+        elif key == _CONFIG_KEY:
+            contents.routes = self._decode_routes(item)
+
+    def _decode_routes(self, item: dict) -> serving.RouteSet | None:
+        """Returns the item's routes, or the newest ones if it is unreadable."""
+        revision, routes = self._newest_routes
+        if item["rev"] == revision:
+            return routes
+        try:
+            decoded = decode_routes(_decode_value(item))
+        except (KeyError, TypeError, ValueError) as error:
+            self._report_unreadable(item, error)
+            return routes
+        # A read that overlaps a newer one must not replace the newer routes.
+        if item["rev"] > revision:
+            self._newest_routes = (item["rev"], decoded)
+        return decoded
 
     def _report_unreadable(self, item: dict, error: Exception) -> None:
         key, revision = item["key"], item["rev"]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -338,3 +338,44 @@
     with pytest.raises(errors.PlatformError, match="page"):
         read(fake)
     assert fake.page_count <= 1000
+
+
+def test_overlapping_reads_keep_their_own_configuration():
+    class PagedClient:
+        """Answers each request when the test resolves its future."""
+
+        def __init__(self):
+            self.requests = []
+
+        async def get(self, path):
+            self.requests.append(asyncio.get_running_loop().create_future())
+            return await self.requests[-1]
+
+    def make_page(version, is_truncated):
+        config = item("op/config", CONFIG | {"version": version}, version)
+        return {
+            "items": [config],
+            "truncated": is_truncated,
+            "store-revision": version,
+        }
+
+    async def body():
+        client = _store.StoreClient(
+            serving.StoreSettings("127.0.0.1:1"), lambda *args: None
+        )
+        client._client = paged = PagedClient()
+        older = asyncio.create_task(client.read())
+        newer = asyncio.create_task(client.read())
+        await asyncio.sleep(0)
+        older_request, newer_request = paged.requests
+        newer_request.set_result(make_page(8, True))
+        await asyncio.sleep(0.01)
+        older_request.set_result(make_page(7, False))
+        assert (await older).routes.version == 7
+        paged.requests[-1].set_result(
+            {"items": [], "truncated": False, "store-revision": 9}
+        )
+        contents = await newer
+        assert (contents.revision, contents.routes.version) == (8, 8)
+
+    asyncio.run(body())
