Keep to the limits that searchers name, over all daemons

Cause: nothing acted on the limit. The searcher kept its share of its shard's requests. A searcher at its limit is treated like a blocked one: its requests go to another searcher; without one, the shard is left out or the request refused at once. Evidence: three new tests of the dispatcher failed before (83 requests where 11 are allowed; none refused; no shard left out).

--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -106,6 +106,7 @@
             "relay_lost": self._relay.counters.lost_replies,
             "extra_sends": limiter.granted_count,
             "extra_denied": limiter.denied_count,
+            "limited_sends": self._dispatcher.limited_send_count,
             "connects": self._pool.counters.connects,
             "aborts": self._pool.counters.aborts,
             "connections": self._pool.open_count,
@@ -141,6 +142,11 @@
         yield "partials", "Without all shards.", lambda: counts.partials
         yield "refusals", "Refused, not run.", lambda: counts.refusals
         yield "failures", "Failed, may have run.", lambda: counts.failures
+        yield (
+            "limited_sends",
+            "Sends that a searcher's stated limit held back.",
+            lambda: self._dispatcher.limited_send_count,
+        )
         yield (
             "unreadable_headers",
             "Headers of searchers that were ignored.",
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -139,6 +139,11 @@
         self.counters = DispatchCounters()
         self.in_flight = 0
 
+    @property
+    def limited_send_count(self) -> int:
+        """Number of times that a searcher was passed over for its limit."""
+        return self._stated_rates.denied_count
+
     @property
     def hedge_retry_limiter(self) -> fanout.HedgeRetryLimiter:
         """Limits hedges and retries; counts those it granted and denied."""
@@ -334,6 +339,7 @@
             self._hedge_retry_limiter,
             self._try_acquire_send,
             self._tokens,
+            self._stated_rates.has_capacity,
         )
         return running
 
@@ -496,13 +502,15 @@
     def _try_acquire_send(self, upstream: serving.Upstream, now: int) -> bool:
         """Returns whether a searcher may get one more request now.
 
-        For a cold searcher, this takes a token of its warm-up rate.
+        For a cold searcher, this takes a token of its warm-up rate, and for one
+        that named a limit, a token of that.
         """
-        if self._view.registry.cold_until(upstream.id) <= now:
-            return True
-        backend = self._view.routes.table.backends.get(upstream.backend)
-        rate_per_s = 0.0 if backend is None else backend.warmup_per_s
-        return self._warmup_rate.try_acquire(upstream.id, rate_per_s, now)
+        if self._view.registry.cold_until(upstream.id) > now:
+            backend = self._view.routes.table.backends.get(upstream.backend)
+            rate_per_s = 0.0 if backend is None else backend.warmup_per_s
+            if not self._warmup_rate.try_acquire(upstream.id, rate_per_s, now):
+                return False
+        return self._stated_rates.try_acquire(upstream, now)
 
     def _on_reply(self, token: int, reply: links.ExchangeResult) -> None:
         now = self._clock.now()
--- a/citrondoor/entry/_relay.py
+++ b/citrondoor/entry/_relay.py
@@ -87,6 +87,7 @@
     __slots__ = (
         "_clock",
         "_last_reply_at",
+        "_on_served_reply",
         "_peer_of",
         "_peers",
         "_pending_sends",
@@ -122,9 +123,13 @@
         # Negative, so that they differ from the dispatcher's tokens, which are
         # positive, in the same pool.
         self._tokens = itertools.count(-1, -1)
-        # For each served send, by own token: its batch and the peer's token.
-        self._served_sends: dict[int, tuple[_ServedBatch, int]] = {}
+        # For each served send, by own token: its batch, the peer's token, and
+        # the searcher, None if it is unknown here.
+        self._served_sends: dict[
+            int, tuple[_ServedBatch, int, serving.Upstream | None]
+        ] = {}
         self._served_token_of: dict[tuple[str, int], int] = {}
+        self._on_served_reply = lambda upstream, reply: None
         self._queued_replies: dict[str, list[messages.RelayReply]] = {}
         self.counters = RelayCounters()
         peers.register_notification_handler(
@@ -142,6 +147,12 @@
         """Sets the pool that sends, and knows which peers may connect."""
         self._pool = pool
 
+    def set_reply_listener(
+        self, on_reply: Callable[[serving.Upstream, links.ExchangeResult], None]
+    ) -> None:
+        """Sets the function that gets each result of a send for a peer."""
+        self._on_served_reply = on_reply
+
     def reach_checker(self) -> Callable[[serving.Upstream], bool]:
         """Returns a function that tells if a peer can send to a searcher now.
 
@@ -297,9 +308,9 @@
         for send in message.sends:
             self.counters.served_for_peers += 1
             token = next(self._tokens)
-            self._served_sends[token] = (batch, send.token)
-            self._served_token_of[sender, send.token] = token
             upstream = self._view.registry.find(send.upstream)
+            self._served_sends[token] = (batch, send.token, upstream)
+            self._served_token_of[sender, send.token] = token
             if upstream is None:
                 self._on_served_result(
                     token, links.ExchangeResult(links.ExchangeOutcome.UNSENT)
@@ -373,7 +384,9 @@
         self, token: int, reply: links.ExchangeResult
     ) -> None:
         self._pool.release(token)
-        batch, requester_token = self._served_sends.pop(token)
+        batch, requester_token, upstream = self._served_sends.pop(token)
+        if upstream is not None:
+            self._on_served_reply(upstream, reply)
         del self._served_token_of[batch.requester, requester_token]
         reply_message = messages.RelayReply(
             requester_token, reply.outcome.value
--- a/citrondoor/fanout/_fanout.py
+++ b/citrondoor/fanout/_fanout.py
@@ -177,12 +177,15 @@
       may_send: Returns whether a searcher may get one more request now, and
         counts the request if so.
       tokens: Iterator of numbers that no other send of this daemon has.
+      has_capacity: Returns whether a searcher may get one more request now,
+        without counting any. One that may not is treated like a blocked one.
     """
 
     __slots__ = (
         "_answered_count",
         "_groups",
         "_groups_by_token",
+        "_has_capacity",
         "_limiter",
         "_may_have_run",
         "_may_send",
@@ -204,6 +207,9 @@
         limiter: _budget.HedgeRetryLimiter,
         may_send: Callable[[serving.Upstream, int], bool],
         tokens,
+        has_capacity: Callable[[serving.Upstream, int], bool] = (
+            lambda upstream, now: True
+        ),
     ):
         self._groups = [_Group(name) for name in groups]
         self._groups_by_token: dict[int, _Group] = {}
@@ -213,6 +219,7 @@
         self._limiter = limiter
         self._may_send = may_send
         self._tokens = tokens
+        self._has_capacity = has_capacity
         self._answered_count = 0
         # Groups that have not answered and are not unavailable.
         self._open_count = len(self._groups)
@@ -341,12 +348,18 @@
     def _reachable_group_count(self, now: int) -> int:
         return sum(
             any(
-                self._replicas.get(upstream).blocked_until <= now
+                self._is_open(upstream, now)
                 for upstream in self._usable_upstreams(group.name)
             )
             for group in self._groups
         )
 
+    def _is_open(self, upstream: serving.Upstream, now: int) -> bool:
+        """Returns whether a searcher is neither blocked nor at its limit."""
+        return self._replicas.get(
+            upstream
+        ).blocked_until <= now and self._has_capacity(upstream, now)
+
     def _candidates(self, group: _Group) -> list[serving.Upstream]:
         """Returns the searchers that the limits of the request allow.
 
@@ -425,12 +438,11 @@
             group.due_at = None
             return
         upstreams = self._usable_upstreams(group.name)
-        # Blocked searchers are expected back too late for this request, so it
-        # does not wait for a group that has no others. The group is still tried
-        # again while the request is pending.
-        is_blocked = all(
-            self._replicas.get(upstream).blocked_until > now
-            for upstream in upstreams
+        # Blocked searchers, and those at their limits, are expected back too
+        # late for this request, so it does not wait for a group that has no
+        # others. The group is still tried again while the request is pending.
+        is_blocked = not any(
+            self._is_open(upstream, now) for upstream in upstreams
         )
         self._set_unavailable(group, not group.pending and is_blocked)
         self._set_timer(group, now + RECHECK_DELAY_MS, is_retry=True)
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -527,3 +527,48 @@
     assert lines == [
         {"searcher": "i-1", "backend": "store", "rate_per_s": 50.0}
     ]
+
+
+LIMITED = samples.upstream("limited")
+UNLIMITED = samples.upstream("unlimited")
+
+
+def answer_with_limit(upstream, outbound):
+    rate_per_s = 4.0 if upstream is LIMITED else None
+    return 0.0, answered_with_limit(upstream, rate_per_s)
+
+
+def test_a_searcher_gets_no_more_requests_than_the_limit_it_named():
+    harness = Harness(
+        answer_with_limit, [samples.route()], [LIMITED, UNLIMITED]
+    )
+    for _ in range(100):
+        answer = harness.serve(make_request("/a/x"))
+        assert isinstance(answer, entry.ForwardedAnswer)
+    sent = [upstream.id for upstream, _ in harness.pool.sent]
+    # The 100 requests take less than a second.
+    assert 1 <= sent.count("limited") <= 4 * 1.5 + 5
+
+
+def test_a_request_that_only_a_searcher_at_its_limit_could_serve_is_refused():
+    harness = Harness(answer_with_limit, [samples.route()], [LIMITED])
+    answers = [harness.serve(make_request("/a/x")) for _ in range(30)]
+    refused = [a for a in answers if isinstance(a, messages.Refusal)]
+    assert len(refused) >= 15
+    assert all(refusal.ran == messages.Ran.NO for refusal in refused)
+    # No request waits for the searcher.
+    assert len(harness.pool.sent) == len(answers) - len(refused)
+
+
+def test_a_shard_whose_searchers_are_at_their_limits_is_left_out_at_once():
+    def respond(upstream, outbound):
+        rate_per_s = 1.0 if upstream.backend == "s0" else None
+        reply = answered_with_limit(upstream, rate_per_s)
+        reply.response.body = records(1)
+        return 0.0, reply
+
+    harness = Harness(respond, [SCATTER_ROUTE], REPLICAS)
+    answers = [harness.serve(make_request()) for _ in range(30)]
+    assert answers[0].missing_count == 0
+    assert answers[-1].missing_count == 1
+    assert [stamp[:2] for stamp in answers[-1].stamps] == [b"s1", b"s2", b"s3"]
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -8,6 +8,7 @@
 from citrondoor import links
 from citrondoor.codecs import http1
 from citrondoor.entry import _relay
+from citrondoor.schema import messages
 from tests import serving_samples as samples
 
 OUTCOME = links.ExchangeOutcome
@@ -295,3 +296,30 @@
         assert {r.outcome for r in pair.results.values()} == {OUTCOME.UNSENT}
 
     run(body)
+
+
+def test_both_daemons_learn_what_a_searcher_says_of_itself():
+    async def body(pair):
+        heard = []
+        pair.relays[1].set_reply_listener(
+            lambda upstream, reply: heard.append(
+                (upstream.id, reply.statements.rate_limit_per_s)
+            )
+        )
+        assert pair.submit(count=2)
+        await pair.settle()
+        for upstream_id, rate_per_s in (("i-0", 2.5), ("i-1", None)):
+            exchange = pair.pool.exchanges.pop(upstream_id)
+            reply = links.ExchangeResult(
+                OUTCOME.ANSWERED,
+                http1.Response(200, [], b""),
+                b"s",
+                statements=messages.SearcherStatements(rate_per_s),
+            )
+            exchange.deliver(exchange.token, reply)
+        await pair.settle()
+        assert heard == [("i-0", 2.5), ("i-1", None)]
+        assert pair.results[1].statements.rate_limit_per_s == 2.5
+        assert pair.results[2].statements.rate_limit_per_s is None
+
+    run(body)
