Test the limit of a searcher with real daemons

Two daemons and a stand-in searcher that names 8 requests a second get 150 requests in about two seconds; the searcher gets at most 17 in any judged second.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -85,6 +85,8 @@
     Attributes:
       work_s: Time before each response, in seconds.
       ran: Ids of the requests that it ran.
+      ran_at: Time of the event loop at which each of them began, in seconds.
+      said: Headers that it adds to its responses.
     """
 
     def __init__(self, searcher_id, service, work_s=0.005):
@@ -92,6 +94,8 @@
         self.service = service
         self.work_s = work_s
         self.ran: list[bytes] = []
+        self.ran_at: list[float] = []
+        self.said: list[tuple[bytes, bytes]] = []
         self.server = links.HttpServer(self)
 
     async def handle(self, request, disconnected):
@@ -100,10 +104,12 @@
             return http1.Response(421, [], b"")
         request_id = request.header_values(b"x-request-id")[0]
         self.ran.append(request_id)
+        self.ran_at.append(asyncio.get_running_loop().time())
         await asyncio.wait((disconnected,), timeout=self.work_s)
         headers = [
             (b"x-request-id", request_id),
             (b"x-server-stamp", f"{self.id}.{len(self.ran)}".encode()),
+            *self.said,
         ]
         body = self.id.encode().ljust(16, b"-")
         return http1.Response(200, headers, body)
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -120,6 +120,22 @@
     run(tmp_path, body)
 
 
+def test_a_searcher_gets_at_most_the_rate_it_names_from_all_daemons(tmp_path):
+    async def body(deployment):
+        limited = deployment.searchers[0]
+        limited.said = [(b"server-limit", b"8")]
+        for number in range(150):
+            daemon = deployment.daemons[number % 2]
+            response = await deployment.send_request(daemon)
+            assert response.header_value(b"x-missing-parts") == b"0"
+            await asyncio.sleep(0.01)
+        since_limit_s = [at - limited.ran_at[0] for at in limited.ran_at]
+        second = [at for at in since_limit_s if 0.5 <= at < 1.5]
+        assert 1 <= len(second) <= 8 * 1.5 + 5
+
+    run(tmp_path, body)
+
+
 def test_callers_are_served_while_the_store_is_down(tmp_path):
     async def body(deployment):
         deployment.store.status = 503
