Stop new work for a searcher that says in an answer that it is leaving

Cause: only the store's state counted, which may not say so, or be unreachable. Change: the incarnation that said so is not used again, whatever a listing, a peer or a return after a removal says; a new incarnation starts clean.

--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -22,13 +22,22 @@
 
 
 class _Record:
-    __slots__ = ("changed_at_revision", "cold_until", "removed_at", "upstream")
+    __slots__ = (
+        "changed_at_revision",
+        "cold_until",
+        "leaving_born_ms",
+        "removed_at",
+        "upstream",
+    )
 
     def __init__(self, upstream: serving.Upstream | None, revision: int):
         self.upstream = upstream
         self.changed_at_revision = revision
         self.cold_until = 0
         self.removed_at = 0
+        # Incarnation that said in an answer that it is leaving, as its start in
+        # Unix ms; None if none did.
+        self.leaving_born_ms: int | None = None
 
 
 class Registry:
@@ -95,7 +104,7 @@
     def find(self, upstream_id: str) -> serving.Upstream | None:
         """Returns a searcher; None if it may not receive new work."""
         record = self._records.get(upstream_id)
-        if record is None or not self._is_usable(record.upstream):
+        if record is None or not self._is_usable(record):
             return None
         return record.upstream
 
@@ -126,6 +135,22 @@
         if record is not None:
             record.cold_until = max(record.cold_until, now + remaining_ms)
 
+    def mark_leaving(self, upstream: serving.Upstream) -> bool:
+        """Records that a searcher says in an answer that it is leaving.
+
+        This incarnation gets no new work, whatever the store and peers say.
+
+        Returns:
+          Whether this was not known.
+        """
+        record = self._records.get(upstream.id)
+        if record is None or record.leaving_born_ms == upstream.born_ms:
+            return False
+        record.leaving_born_ms = upstream.born_ms
+        self._on_usable_changed()
+        self._listener("upstream_leaving", f"{upstream.id} {upstream.backend}")
+        return True
+
     def set_evacuated(self, zones: frozenset[str]) -> None:
         """Sets the zones whose searchers get no new work."""
         if zones != self._evacuated:
@@ -328,18 +353,20 @@
     def _index_by_backend(self) -> dict[str, list[serving.Upstream]]:
         upstreams_by_backend: dict[str, list[serving.Upstream]] = {}
         for record in self._records.values():
-            if self._is_usable(record.upstream):
+            if self._is_usable(record):
                 upstream = record.upstream
                 upstreams_by_backend.setdefault(upstream.backend, []).append(
                     upstream
                 )
         return upstreams_by_backend
 
-    def _is_usable(self, upstream: serving.Upstream | None) -> bool:
+    def _is_usable(self, record: _Record) -> bool:
+        upstream = record.upstream
         return (
             upstream is not None
             and upstream.zone not in self._evacuated
             and upstream.state == serving.UpstreamState.READY
+            and upstream.born_ms != record.leaving_born_ms
         )
 
 
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -218,6 +218,8 @@
         """Records what a searcher says of itself in a reply, if it is one."""
         if reply.statements is None:
             return
+        if reply.statements.is_leaving:
+            self._view.mark_leaving(upstream)
         rate_per_s = reply.statements.rate_limit_per_s
         is_answer = reply.outcome == links.ExchangeOutcome.ANSWERED
         # Only an answer without a limit takes the limit back.
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -78,6 +78,12 @@
         """Calls `listener` after each change of routes or searchers."""
         self._subscribers.append(listener)
 
+    def mark_leaving(self, upstream: serving.Upstream) -> None:
+        """Stops new work for a searcher that says that it is leaving."""
+        old_versions = self._versions()
+        self.registry.mark_leaving(upstream)
+        self._notify_if_changed(old_versions)
+
     def apply_store_contents(self, contents, now: int) -> None:
         """Applies the `StoreContents` of one store read.
 
--- a/citrondoor/platform/_headers.py
+++ b/citrondoor/platform/_headers.py
@@ -15,6 +15,8 @@
 # Requests per second that the searcher accepts from all daemons together, a
 # decimal number; not a number of requests in flight.
 RATE_LIMIT = b"server-limit"
+# "1" if the searcher stops soon, whatever the store says of it.
+LEAVING = b"server-leaving"
 # Stamps of the shards in a merged answer, separated by commas.
 SHARD_STAMPS = b"x-part-stamps"
 # Number of shards missing from a merged answer.
--- a/citrondoor/platform/_searcher_codec.py
+++ b/citrondoor/platform/_searcher_codec.py
@@ -115,6 +115,11 @@
         self, headers: dict[bytes, bytes]
     ) -> messages.SearcherStatements:
         statements = messages.SearcherStatements()
+        leaving = headers.get(_headers.LEAVING)
+        if leaving == b"1":
+            statements.is_leaving = True
+        elif leaving is not None:
+            self._on_unreadable(_headers.LEAVING, leaving)
         rate = headers.get(_headers.RATE_LIMIT)
         if rate is not None and _DECIMAL.fullmatch(rate):
             statements.rate_limit_per_s = float(rate)
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -365,6 +365,8 @@
   // Requests per second that it accepts from all daemons together; unset if it
   // names no limit.
   1: optional double rate_limit_per_s
+  // It stops soon and wants no further requests.
+  2: bool is_leaving = 0
 }
 
 struct RelayReply {
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -46,6 +46,26 @@
     assert usable_ids(registry) == ["i-2"]
 
 
+def test_a_searcher_that_says_it_leaves_is_not_used_whatever_others_say():
+    registry, events = make_registry()
+    ready = samples.upstream("i-1")
+    registry.apply_listing([ready], 5, 0)
+    assert registry.mark_leaving(ready)
+    assert not registry.mark_leaving(ready)
+    assert events.count("upstream_leaving") == 1
+    assert usable_ids(registry) == []
+    registry.apply_listing([ready], 6, 10)
+    peer_update = serving.UpstreamNews("i-1", 7, samples.upstream("i-1"))
+    registry.apply_updates([peer_update], 7, 20)
+    registry.apply_listing([], 8, 30)
+    registry.apply_listing([ready], 9, 40)
+    assert usable_ids(registry) == []
+    assert registry.find("i-1") is None
+    restarted = samples.upstream("i-1", born_ms=2)
+    registry.apply_listing([restarted], 10, 50)
+    assert usable_ids(registry) == ["i-1"]
+
+
 def test_searchers_missing_after_an_outage_are_kept_for_the_grace_period():
     registry, _ = make_registry()
     registry.apply_listing([samples.upstream("i-1")], 5, 0)
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -572,3 +572,19 @@
     assert answers[0].missing_count == 0
     assert answers[-1].missing_count == 1
     assert [stamp[:2] for stamp in answers[-1].stamps] == [b"s1", b"s2", b"s3"]
+
+
+def test_a_searcher_that_says_it_leaves_gets_no_further_request():
+    def respond(upstream, outbound):
+        reply = answered(upstream)
+        reply.statements = messages.SearcherStatements(
+            is_leaving=upstream is LIMITED
+        )
+        return 0.0, reply
+
+    harness = Harness(respond, [samples.route()], [LIMITED, UNLIMITED])
+    for _ in range(40):
+        answer = harness.serve(make_request("/a/x"))
+        assert isinstance(answer, entry.ForwardedAnswer)
+    sent = [upstream.id for upstream, _ in harness.pool.sent]
+    assert sent.count("limited") == 1
--- a/tests/platform/test_searcher_codec.py
+++ b/tests/platform/test_searcher_codec.py
@@ -93,3 +93,14 @@
     is_ignored = [(b"server-limit", value)] == UNREADABLE
     assert is_ignored == (rate is None)
     assert rate is None or 0 <= rate < 1e9
+
+
+def test_a_searcher_is_leaving_only_if_it_says_so_with_1():
+    def decode_leaving(*headers):
+        return decode(200, STAMP_HEADER, *headers).statements.is_leaving
+
+    assert decode_leaving((b"server-leaving", b"1"))
+    assert not decode_leaving()
+    UNREADABLE.clear()
+    assert not decode_leaving((b"server-leaving", b"yes"))
+    assert UNREADABLE == [(b"server-leaving", b"yes")]
