Leave a searcher alone for as long as its Retry-After says

Cause: the header was not read; such a searcher only counted as failed. Change: the daemon that was turned away sends nothing there until then, and up to a tenth longer at random. It is not a failure. Requests that wait for a connection to it go elsewhere, and a peer sends nothing there on behalf of others either. Without another searcher a request is refused at once.

--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -223,7 +223,9 @@
             self._peers, self._view, self._clock, self._rng
         )
         self._relay.set_pool(self._pool)
-        self._relay.set_reply_listener(self._dispatcher.record_statements)
+        self._relay.set_searcher_state(
+            self._dispatcher.record_statements, self._dispatcher.pause_ms
+        )
         self._dispatcher.set_relay(self._relay)
         self._view.subscribe(self._on_view_changed)
 
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -28,6 +28,8 @@
 ANSWER_WRITE_MS = 4
 # Assumed for a caller whose round-trip time the kernel does not report.
 DEFAULT_ROUND_TRIP_MS = 2
+# A searcher's pause is prolonged at random by up to this share.
+PAUSE_JITTER_SHARE = 0.1
 # Limit for the missing shards, and for the pending sends, named in a log line.
 MAX_LOGGED_SHARDS = 6
 
@@ -209,7 +211,7 @@
     def on_view_changed(self) -> None:
         """Discards the state kept for searchers that are no longer usable."""
         usable_ids = {u.id for u in self._view.registry.all_usable_upstreams()}
-        self._replicas.retain_only(usable_ids)
+        self._replicas.retain_only(usable_ids, self._clock.now())
         self._stated_rates.retain_only(usable_ids)
 
     def record_statements(
@@ -218,6 +220,8 @@
         """Records what a searcher says of itself in a reply, if it is one."""
         if reply.statements is None:
             return
+        if reply.statements.pause_ms:
+            self._pause(upstream, reply.statements.pause_ms)
         if reply.statements.is_leaving:
             self._view.mark_leaving(upstream)
         rate_per_s = reply.statements.rate_limit_per_s
@@ -235,6 +239,29 @@
                 rate_per_s=rate_per_s,
             )
 
+    def pause_ms(self, upstream: serving.Upstream) -> int:
+        """Returns for how long a searcher wants no request, in ms."""
+        paused_until = self._replicas.get(upstream).paused_until
+        return max(0, paused_until - self._clock.now())
+
+    def _pause(self, upstream: serving.Upstream, pause_ms: int) -> None:
+        now = self._clock.now()
+        replica = self._replicas.get(upstream)
+        is_new = replica.paused_until <= now
+        # Daemons that were turned away together do not return together.
+        jitter_ms = int(PAUSE_JITTER_SHARE * pause_ms * self._rng.random())
+        replica.pause(now + pause_ms + jitter_ms)
+        if not is_new:
+            return
+        self._log.write_rate_limited(
+            "searcher_paused",
+            searcher=upstream.id,
+            backend=upstream.backend,
+            paused_ms=replica.paused_until - now,
+        )
+        # Called later, as it ends exchanges while this one is being ended.
+        asyncio.get_running_loop().call_soon(self._pool.end_queued, upstream)
+
     async def serve(
         self, request: _messages.CallerRequest, disconnected: asyncio.Future
     ) -> _messages.Answer | None:
@@ -554,7 +581,9 @@
             )
             self._latencies.observe(running.route.definition.name, latency_ms)
             return
-        if reply.is_broken_off and not running.is_finished:
+        if reply.statements is not None and reply.statements.pause_ms:
+            replica.record_turned_away(send.token)
+        elif reply.is_broken_off and not running.is_finished:
             replica.record_broken_off(send.token, now)
         elif reply.outcome == links.ExchangeOutcome.BROKEN:
             replica.record_no_response(send.token, running.median_ms, now)
--- a/citrondoor/entry/_relay.py
+++ b/citrondoor/entry/_relay.py
@@ -88,6 +88,7 @@
         "_clock",
         "_last_reply_at",
         "_on_served_reply",
+        "_pause_ms",
         "_peer_of",
         "_peers",
         "_pending_sends",
@@ -124,12 +125,13 @@
         # positive, in the same pool.
         self._tokens = itertools.count(-1, -1)
         # For each served send, by own token: its batch, the peer's token, and
-        # the searcher, None if it is unknown here.
+        # the searcher, None if it gets no request.
         self._served_sends: dict[
             int, tuple[_ServedBatch, int, serving.Upstream | None]
         ] = {}
         self._served_token_of: dict[tuple[str, int], int] = {}
         self._on_served_reply = lambda upstream, reply: None
+        self._pause_ms = lambda upstream: 0
         self._queued_replies: dict[str, list[messages.RelayReply]] = {}
         self.counters = RelayCounters()
         peers.register_notification_handler(
@@ -147,11 +149,19 @@
         """Sets the pool that sends, and knows which peers may connect."""
         self._pool = pool
 
-    def set_reply_listener(
-        self, on_reply: Callable[[serving.Upstream, links.ExchangeResult], None]
+    def set_searcher_state(
+        self,
+        on_reply: Callable[[serving.Upstream, links.ExchangeResult], None],
+        pause_ms: Callable[[serving.Upstream], int],
     ) -> None:
-        """Sets the function that gets each result of a send for a peer."""
+        """Shares this daemon's own state of searchers with sends for peers.
+
+        Args:
+          on_reply: Called with each result of a send for a peer.
+          pause_ms: Returns for how long a searcher wants no request.
+        """
         self._on_served_reply = on_reply
+        self._pause_ms = pause_ms
 
     def reach_checker(self) -> Callable[[serving.Upstream], bool]:
         """Returns a function that tells if a peer can send to a searcher now.
@@ -309,12 +319,21 @@
             self.counters.served_for_peers += 1
             token = next(self._tokens)
             upstream = self._view.registry.find(send.upstream)
-            self._served_sends[token] = (batch, send.token, upstream)
+            pause_ms = 0 if upstream is None else self._pause_ms(upstream)
+            is_sent = upstream is not None and not pause_ms
+            self._served_sends[token] = (
+                batch,
+                send.token,
+                upstream if is_sent else None,
+            )
             self._served_token_of[sender, send.token] = token
-            if upstream is None:
-                self._on_served_result(
-                    token, links.ExchangeResult(links.ExchangeOutcome.UNSENT)
-                )
+            if not is_sent:
+                result = links.ExchangeResult(links.ExchangeOutcome.UNSENT)
+                if pause_ms:
+                    result.statements = messages.SearcherStatements(
+                        pause_ms=pause_ms
+                    )
+                self._on_served_result(token, result)
             else:
                 exchange = links.Exchange(
                     token, outbound, self._on_served_result
--- a/citrondoor/fanout/_fanout.py
+++ b/citrondoor/fanout/_fanout.py
@@ -355,10 +355,9 @@
         )
 
     def _is_open(self, upstream: serving.Upstream, now: int) -> bool:
-        """Returns whether a searcher is neither blocked nor at its limit."""
-        return self._replicas.get(
-            upstream
-        ).blocked_until <= now and self._has_capacity(upstream, now)
+        """Returns whether a searcher may get a request now."""
+        is_open = self._replicas.get(upstream).is_open(now)
+        return is_open and self._has_capacity(upstream, now)
 
     def _candidates(self, group: _Group) -> list[serving.Upstream]:
         """Returns the searchers that the limits of the request allow.
@@ -438,7 +437,7 @@
             group.due_at = None
             return
         upstreams = self._usable_upstreams(group.name)
-        # Blocked searchers, and those at their limits, are expected back too
+        # Searchers that are blocked, paused or at a limit are expected back too
         # late for this request, so it does not wait for a group that has no
         # others. The group is still tried again while the request is pending.
         is_blocked = not any(
--- a/citrondoor/fanout/_replicas.py
+++ b/citrondoor/fanout/_replicas.py
@@ -52,6 +52,7 @@
         "_latency_ratio",
         "_no_response_count",
         "blocked_until",
+        "paused_until",
         "upstream",
     )
 
@@ -67,6 +68,8 @@
         self._no_response_count = 0
         self._block_count = 0
         self.blocked_until = 0
+        # Until when the searcher wants no request; a success does not end it.
+        self.paused_until = 0
 
     @property
     def in_flight(self) -> int:
@@ -77,6 +80,21 @@
         """Records that a request was sent."""
         self._in_flight[token] = (now, now + late_after_ms)
 
+    def is_open(self, now: int) -> bool:
+        """Returns whether the searcher is neither blocked nor paused."""
+        return self.blocked_until <= now and self.paused_until <= now
+
+    def pause(self, until: int) -> None:
+        """Stops new requests, as the searcher wants none until then."""
+        self.paused_until = max(self.paused_until, until)
+
+    def record_turned_away(self, token: int) -> None:
+        """Records the end of a request that the searcher turned away.
+
+        It does not count as a failure: the searcher says when to come back.
+        """
+        self._in_flight.pop(token, None)
+
     def record_success(self, token: int, median_ms: float, now: int) -> float:
         """Records a successful answer; returns its latency in ms."""
         sent_at, _ = self._in_flight.pop(token)
@@ -202,12 +220,14 @@
             replica.upstream = upstream
         return replica
 
-    def retain_only(self, upstream_ids: set[str]) -> None:
-        """Drops all other searchers that have no request in flight."""
+    def retain_only(self, upstream_ids: set[str], now: int) -> None:
+        """Drops all others that have no request in flight and no pause."""
         removed_ids = [
             upstream_id
             for upstream_id, replica in self._replicas.items()
-            if upstream_id not in upstream_ids and not replica.in_flight
+            if upstream_id not in upstream_ids
+            and not replica.in_flight
+            and replica.paused_until <= now
         ]
         for upstream_id in removed_ids:
             del self._replicas[upstream_id]
@@ -238,7 +258,7 @@
             if upstream.id in excluded:
                 continue
             replica = self.get(upstream)
-            if replica.blocked_until > now:
+            if not replica.is_open(now):
                 continue
             cost = replica.cost_ms(median_ms, now, loss_ms)
             if upstream.zone != self._zone:
--- a/citrondoor/links/_http_pool.py
+++ b/citrondoor/links/_http_pool.py
@@ -164,6 +164,12 @@
         self._links_by_token[exchange.token] = link
         link.submit(exchange)
 
+    def end_queued(self, upstream: serving.Upstream) -> None:
+        """Ends the exchanges that wait for a connection, as unsent."""
+        link = self._links.get(_link_key(upstream))
+        if link is not None:
+            link.end_queued()
+
     def release(self, token: int) -> None:
         """Removes a finished exchange, so that `cancel` ignores its token."""
         self._links_by_token.pop(token, None)
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -412,7 +412,7 @@
             oldest.replace_on_close = True
             oldest.abort()
         elif not self._connections:
-            self._end_queued()
+            self.end_queued()
 
     def dial(self) -> None:
         """Opens one more connection."""
@@ -444,6 +444,15 @@
                 )
                 return
 
+    def end_queued(self) -> None:
+        """Ends all queued exchanges, as unsent."""
+        queued, self._queued = self._queued, collections.deque()
+        for exchange in queued:
+            exchange.deliver(
+                exchange.token,
+                _exchanges.ExchangeResult(_exchanges.ExchangeOutcome.UNSENT),
+            )
+
     def close_expired_idle(self, now: int) -> None:
         """Closes idle connections shortly before the searcher would."""
         for connection in list(self._idle):
@@ -558,15 +567,7 @@
         ):
             self.dial()
         if not self._connections:
-            self._end_queued()
-
-    def _end_queued(self) -> None:
-        queued, self._queued = self._queued, collections.deque()
-        for exchange in queued:
-            exchange.deliver(
-                exchange.token,
-                _exchanges.ExchangeResult(_exchanges.ExchangeOutcome.UNSENT),
-            )
+            self.end_queued()
 
     def _abort_cancelled(self, connection: _Connection, token: int) -> None:
         if connection.exchange and connection.exchange.token == token:
--- a/citrondoor/platform/_headers.py
+++ b/citrondoor/platform/_headers.py
@@ -17,6 +17,9 @@
 RATE_LIMIT = b"server-limit"
 # "1" if the searcher stops soon, whatever the store says of it.
 LEAVING = b"server-leaving"
+# With status 503: seconds, a decimal number, for which the searcher wants no
+# request from this daemon.
+RETRY_AFTER = b"retry-after"
 # Stamps of the shards in a merged answer, separated by commas.
 SHARD_STAMPS = b"x-part-stamps"
 # Number of shards missing from a merged answer.
--- a/citrondoor/platform/_searcher_codec.py
+++ b/citrondoor/platform/_searcher_codec.py
@@ -1,14 +1,19 @@
 """Encodes and decodes the platform's protocol between daemon and searcher."""
 
 import http
+import math
 import re
 from collections.abc import Callable
 
+from citrondoor import clock as clocks
 from citrondoor import links
 from citrondoor.codecs import http1
 from citrondoor.platform import _headers
 from citrondoor.schema import messages
 
+# Longer pauses are taken for this one; a searcher that still wants none then
+# says so again.
+MAX_PAUSE_MS = 3_600_000
 _SUCCESS_STATUSES = range(200, 300)
 # Neither a sign nor an exponent; nine digits are far above any real rate.
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
@@ -81,7 +86,11 @@
         cold_ms = _parse_ms(headers.get(_headers.WARMUP_REMAINING))
         is_misdirected = response.status == http.HTTPStatus.MISDIRECTED_REQUEST
         # A misdirected request is answered by another searcher.
-        statements = None if is_misdirected else self._statements(headers)
+        statements = (
+            None
+            if is_misdirected
+            else self._statements(response.status, headers)
+        )
         if _headers.NOT_RUN in headers or is_misdirected:
             return links.ExchangeResult(
                 links.ExchangeOutcome.NOT_RUN,
@@ -112,7 +121,7 @@
         )
 
     def _statements(
-        self, headers: dict[bytes, bytes]
+        self, status: int, headers: dict[bytes, bytes]
     ) -> messages.SearcherStatements:
         statements = messages.SearcherStatements()
         leaving = headers.get(_headers.LEAVING)
@@ -120,13 +129,27 @@
             statements.is_leaving = True
         elif leaving is not None:
             self._on_unreadable(_headers.LEAVING, leaving)
-        rate = headers.get(_headers.RATE_LIMIT)
-        if rate is not None and _DECIMAL.fullmatch(rate):
-            statements.rate_limit_per_s = float(rate)
-        elif rate is not None:
-            self._on_unreadable(_headers.RATE_LIMIT, rate)
+        statements.rate_limit_per_s = self._decimal(
+            headers, _headers.RATE_LIMIT
+        )
+        if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
+            pause_s = self._decimal(headers, _headers.RETRY_AFTER) or 0
+            statements.pause_ms = min(
+                math.ceil(pause_s * clocks.MS_PER_S), MAX_PAUSE_MS
+            )
         return statements
 
+    def _decimal(
+        self, headers: dict[bytes, bytes], name: bytes
+    ) -> float | None:
+        """Returns a header's number; None if it is missing or unreadable."""
+        value = headers.get(name)
+        if value is not None and _DECIMAL.fullmatch(value):
+            return float(value)
+        if value is not None:
+            self._on_unreadable(name, value)
+        return None
+
 
 def _parse_ms(value: bytes | None) -> int:
     """Returns the number, or 0 if it is missing or malformed."""
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -367,6 +367,8 @@
   1: optional double rate_limit_per_s
   // It stops soon and wants no further requests.
   2: bool is_leaving = 0
+  // Time for which it wants no request from the daemon that it answered, ms.
+  3: i64 pause_ms = 0
 }
 
 struct RelayReply {
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -1,5 +1,7 @@
 import asyncio
+import itertools
 import random
+import time
 
 from citrondoor import clock as clocks
 from citrondoor import entry
@@ -32,6 +34,7 @@
         self.respond = respond
         self.sent = []
         self.cancelled = []
+        self.ended_queues = []
         # Ids of searchers that this daemon may not connect to.
         self.unconnectable = set()
 
@@ -53,6 +56,9 @@
     def release(self, token):
         pass
 
+    def end_queued(self, upstream):
+        self.ended_queues.append(upstream.id)
+
     def cancel(self, token):
         self.cancelled.append(token)
 
@@ -588,3 +594,61 @@
         assert isinstance(answer, entry.ForwardedAnswer)
     sent = [upstream.id for upstream, _ in harness.pool.sent]
     assert sent.count("limited") == 1
+
+
+def turned_away(pause_ms):
+    return links.ExchangeResult(
+        OUTCOME.NOT_RUN,
+        http1.Response(503, [], b""),
+        statements=messages.SearcherStatements(pause_ms=pause_ms),
+    )
+
+
+def test_a_searcher_that_wants_a_pause_gets_no_request_until_its_end():
+    def respond(upstream, outbound):
+        is_paused = upstream is LIMITED
+        return 0.0, turned_away(300) if is_paused else answered(upstream)
+
+    harness = Harness(respond, [samples.route()], [LIMITED, UNLIMITED])
+    sent_at = []
+    started_at = time.monotonic()
+    while time.monotonic() - started_at < 0.7:
+        sent_before = len(harness.pool.sent)
+        answer = harness.serve(make_request("/a/x"))
+        assert isinstance(answer, entry.ForwardedAnswer)
+        for upstream, _ in harness.pool.sent[sent_before:]:
+            if upstream is LIMITED:
+                sent_at.append(time.monotonic())
+    assert len(sent_at) in (2, 3)
+    gaps_s = [b - a for a, b in itertools.pairwise(sent_at)]
+    assert min(gaps_s) >= 0.3
+    assert harness.pool.ended_queues == ["limited"] * len(sent_at)
+
+
+def test_a_pause_is_neither_a_failure_nor_ended_by_a_late_answer():
+    replica = fanout.ReplicaState(LIMITED)
+    replica.record_sent(1, 50, 0)
+    replica.record_sent(2, 50, 0)
+    cost_before = replica.cost_ms(10, 1)
+    replica.record_turned_away(1)
+    replica.pause(1000)
+    replica.record_success(2, 10, 10)
+    assert not replica.is_open(999)
+    assert replica.is_open(1000)
+    assert replica.cost_ms(10, 10) < cost_before
+
+
+def test_a_request_whose_searchers_all_want_a_pause_is_refused_at_once():
+    harness = Harness(
+        lambda upstream, outbound: (0.0, turned_away(60_000)),
+        [samples.route()],
+        [LIMITED, UNLIMITED],
+    )
+    harness.serve(make_request("/a/x"))
+    sent_before = len(harness.pool.sent)
+    assert sent_before == 2
+    started_at = time.monotonic()
+    answer = harness.serve(make_request("/a/x"))
+    assert answer.ran == messages.Ran.NO
+    assert time.monotonic() - started_at < 0.1
+    assert len(harness.pool.sent) == sent_before
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -301,10 +301,11 @@
 def test_both_daemons_learn_what_a_searcher_says_of_itself():
     async def body(pair):
         heard = []
-        pair.relays[1].set_reply_listener(
+        pair.relays[1].set_searcher_state(
             lambda upstream, reply: heard.append(
                 (upstream.id, reply.statements.rate_limit_per_s)
-            )
+            ),
+            lambda upstream: 0,
         )
         assert pair.submit(count=2)
         await pair.settle()
@@ -323,3 +324,18 @@
         assert pair.results[2].statements.rate_limit_per_s is None
 
     run(body)
+
+
+def test_a_peer_sends_nothing_to_a_searcher_that_wants_a_pause_from_it():
+    async def body(pair):
+        pair.relays[1].set_searcher_state(
+            lambda upstream, reply: None,
+            lambda upstream: 700 if upstream.id == "i-0" else 0,
+        )
+        assert pair.submit(count=2)
+        await pair.settle()
+        assert set(pair.pool.exchanges) == {"i-1"}
+        assert pair.results[1].outcome == OUTCOME.UNSENT
+        assert pair.results[1].statements.pause_ms == 700
+
+    run(body)
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -313,6 +313,23 @@
     assert _http_searcher.CANCEL_GRACE_S <= elapsed_s < 0.5
 
 
+def test_exchanges_that_wait_for_a_searcher_that_wants_none_are_unsent():
+    async def answer_slowly(request, writer):
+        await asyncio.sleep(0.1)
+        writer.write(encode_answer(request))
+
+    async def body(harness):
+        results = [harness.send(token) for token in range(40)]
+        await asyncio.sleep(0.05)
+        harness.pool.end_queued(harness.upstream)
+        outcomes = [(await result).outcome for result in results]
+        sent_count = outcomes.count(OUTCOME.ANSWERED)
+        assert outcomes.count(OUTCOME.UNSENT) == 40 - sent_count
+        assert sent_count == harness.searcher.connections < 40
+
+    run(answer_slowly, body)
+
+
 def test_connection_close_makes_the_next_request_open_a_new_connection():
     async def close(request, writer):
         writer.write(encode_answer(request, extra=b"connection: close\r\n"))
--- a/tests/platform/test_searcher_codec.py
+++ b/tests/platform/test_searcher_codec.py
@@ -104,3 +104,18 @@
     UNREADABLE.clear()
     assert not decode_leaving((b"server-leaving", b"yes"))
     assert UNREADABLE == [(b"server-leaving", b"yes")]
+
+
+def test_a_pause_is_decoded_from_a_503_only():
+    def decode_pause(value, status=503):
+        headers = [(b"x-not-run", b"1"), (b"retry-after", value)]
+        return decode(status, *headers).statements.pause_ms
+
+    assert decode_pause(b"2") == 2000
+    assert decode_pause(b"0.25") == 250
+    assert decode_pause(b"2", status=429) == 0
+    assert decode_pause(b"999999999") == _searcher_codec.MAX_PAUSE_MS
+    UNREADABLE.clear()
+    for value in (b"-1", b"soon", b"Sat, 05 Dec 2026 04:00:00 GMT"):
+        assert decode_pause(value) == 0
+    assert len(UNREADABLE) == 3
