Tell other daemons that a searcher leaves or names a limit

What callers and searchers saw: each daemon sent a leaving searcher a request of its own to find out. Trace: vm-1 heard it at once, vm-2 after 2.9 s and vm-0 after 3.3 s, each from its own first request; the platform's rule counts each VM alone and was kept. Change: what a daemon learns goes to its linked peers within a tick, and each passes on what is new to it. A report never outlives the searcher's incarnation, and never overrides a limit that a daemon has heard from the searcher itself.

--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -143,6 +143,7 @@
         "_readiness_server",
         "_relay",
         "_rng",
+        "_searcher_reports",
         "_settings",
         "_settings_watch",
         "_stopping",
@@ -227,6 +228,9 @@
             self._dispatcher.record_statements, self._dispatcher.pause_ms
         )
         self._dispatcher.set_relay(self._relay)
+        self._searcher_reports = entry.SearcherReports(
+            self._peers, self._view, self._dispatcher
+        )
         self._view.subscribe(self._on_view_changed)
 
     def _build_servers(self) -> None:
@@ -315,6 +319,7 @@
             )
             self._pool.sweep(now)
             self._relay.sweep(now)
+            self._searcher_reports.flush()
             await asyncio.sleep(TICK_MS / clocks.MS_PER_S)
 
     async def _summarize_forever(self) -> None:
--- a/citrondoor/entry/__init__.py
+++ b/citrondoor/entry/__init__.py
@@ -13,6 +13,7 @@
 from citrondoor.entry._messages import StoreContents
 from citrondoor.entry._peer_network import PeerNetwork
 from citrondoor.entry._relay import Relay
+from citrondoor.entry._searcher_reports import SearcherReports
 from citrondoor.entry._store_poller import StorePoller
 from citrondoor.entry._view import LocalView
 
@@ -27,5 +28,6 @@
     "PeerNetwork",
     "Relay",
     "StoreContents",
+    "SearcherReports",
     "StorePoller",
 ]
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import random
+from collections.abc import Callable
 
 from citrondoor import clock as clocks
 from citrondoor import fanout
@@ -94,6 +95,7 @@
         "_hedge_retry_limiter",
         "_latencies",
         "_log",
+        "_on_news",
         "_pending_sends",
         "_pool",
         "_relay",
@@ -138,6 +140,7 @@
         self._pending_sends: dict[
             int, tuple[fanout.Send, _running.RunningRequest]
         ] = {}
+        self._on_news = lambda upstream, statements: None
         self.counters = DispatchCounters()
         self.in_flight = 0
 
@@ -214,21 +217,66 @@
         self._replicas.retain_only(usable_ids, self._clock.now())
         self._stated_rates.retain_only(usable_ids)
 
+    def set_report_listener(
+        self,
+        on_news: Callable[
+            [serving.Upstream, messages.SearcherStatements], None
+        ],
+    ) -> None:
+        """Sets the function that gets what other daemons should know."""
+        self._on_news = on_news
+
     def record_statements(
         self, upstream: serving.Upstream, reply: links.ExchangeResult
     ) -> None:
         """Records what a searcher says of itself in a reply, if it is one."""
-        if reply.statements is None:
+        statements = reply.statements
+        if statements is None:
             return
-        if reply.statements.pause_ms:
-            self._pause(upstream, reply.statements.pause_ms)
-        if reply.statements.is_leaving:
-            self._view.mark_leaving(upstream)
-        rate_per_s = reply.statements.rate_limit_per_s
+        if statements.pause_ms:
+            self._pause(upstream, statements.pause_ms)
+        is_new = statements.is_leaving and self._view.mark_leaving(upstream)
         is_answer = reply.outcome == links.ExchangeOutcome.ANSWERED
         # Only an answer without a limit takes the limit back.
-        if rate_per_s is None and not is_answer:
-            return
+        if statements.rate_limit_per_s is not None or is_answer:
+            had_limit = self._stated_rates.is_limited(upstream)
+            self._record_rate(upstream, statements.rate_limit_per_s, "")
+            is_new |= not had_limit and statements.rate_limit_per_s is not None
+        if is_new:
+            self._on_news(
+                upstream,
+                messages.SearcherStatements(
+                    statements.rate_limit_per_s, statements.is_leaving
+                ),
+            )
+
+    def record_report(
+        self,
+        upstream: serving.Upstream,
+        statements: messages.SearcherStatements,
+        sender: str,
+    ) -> None:
+        """Records what a peer learned of a searcher, if it is new here.
+
+        A limit that this daemon knows stays, as the searcher's own answers are
+        newer.
+        """
+        is_new = statements.is_leaving and self._view.mark_leaving(upstream)
+        rate_per_s = statements.rate_limit_per_s
+        if rate_per_s is not None and not self._stated_rates.is_limited(
+            upstream
+        ):
+            self._record_rate(upstream, rate_per_s, sender)
+            is_new = True
+        if is_new:
+            self._on_news(upstream, statements)
+
+    def _record_rate(
+        self,
+        upstream: serving.Upstream,
+        rate_per_s: float | None,
+        reported_by: str,
+    ) -> None:
         if self._stated_rates.record_stated(
             upstream, rate_per_s, self._clock.now()
         ):
@@ -237,6 +285,7 @@
                 searcher=upstream.id,
                 backend=upstream.backend,
                 rate_per_s=rate_per_s,
+                reported_by=reported_by,
             )
 
     def pause_ms(self, upstream: serving.Upstream) -> int:
--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -302,6 +302,12 @@
             return True
         return self._server.notify(name, body)
 
+    def notify_all(self, message) -> None:
+        """Sends a notification on all links; some may not receive it."""
+        for link in list(self._links.values()):
+            if link.name:
+                self.notify(link.name, message)
+
     def register_notification_handler(self, kind: type, handler) -> None:
         """Registers the handler of one type of notification.
 
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -78,11 +78,16 @@
         """Calls `listener` after each change of routes or searchers."""
         self._subscribers.append(listener)
 
-    def mark_leaving(self, upstream: serving.Upstream) -> None:
-        """Stops new work for a searcher that says that it is leaving."""
+    def mark_leaving(self, upstream: serving.Upstream) -> bool:
+        """Stops new work for a searcher that says that it is leaving.
+
+        Returns:
+          Whether this was not known.
+        """
         old_versions = self._versions()
-        self.registry.mark_leaving(upstream)
+        is_new = self.registry.mark_leaving(upstream)
         self._notify_if_changed(old_versions)
+        return is_new
 
     def apply_store_contents(self, contents, now: int) -> None:
         """Applies the `StoreContents` of one store read.
--- a/citrondoor/fanout/_stated_rates.py
+++ b/citrondoor/fanout/_stated_rates.py
@@ -105,6 +105,11 @@
         for upstream_id in self._limits.keys() - upstream_ids:
             del self._limits[upstream_id]
 
+    def is_limited(self, upstream: serving.Upstream) -> bool:
+        """Returns whether a searcher has named a limit that still holds."""
+        limit = self._find(upstream)
+        return limit is not None and limit.rate_per_s is not None
+
     def has_capacity(self, upstream: serving.Upstream, now: int) -> bool:
         """Returns whether a searcher may get one more request now."""
         limit = self._find(upstream)
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -371,6 +371,15 @@
   3: i64 pause_ms = 0
 }
 
+// What a daemon has learned of one incarnation of a searcher.
+struct SearcherReport {
+  1: required string upstream_id
+  // Start of the searcher's process, Unix ms.
+  2: required i64 born_ms
+  3: required SearcherStatements statements
+}
+struct SearcherReports { 1: required list<SearcherReport> reports }
+
 struct RelayReply {
   1: required i64 token
   // Value of links.ExchangeOutcome.
@@ -419,6 +428,7 @@
   25: optional RelayAsk relay_ask
   26: optional RelayReplies relay_replies
   27: optional RelayCancel relay_cancel
+  28: optional SearcherReports searcher_reports
 }
 
 struct Envelope {
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -531,7 +531,12 @@
         if event == "searcher_rate_limit"
     ]
     assert lines == [
-        {"searcher": "i-1", "backend": "store", "rate_per_s": 50.0}
+        {
+            "searcher": "i-1",
+            "backend": "store",
+            "rate_per_s": 50.0,
+            "reported_by": "",
+        }
     ]
 
 
