Let searchers of the soak name limits and pauses, and leave without the store

After the faults, a searcher names 8 requests a second and another says that it leaves, while the store calls both ready; the soak checks what reaches them.

--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -46,6 +46,11 @@
 # Time until a draining searcher gets no new requests. A store poll of 200 ms,
 # two heartbeats and the limit of the platform are well below it.
 DRAIN_TIMEOUT_S = 3.0
+# A searcher's limit, the time until all daemons keep it, and the window in
+# which one and a half times the limit and five requests more are tolerated.
+LIMIT_PER_S = 8
+CONTACT_S = 1.0
+LIMIT_WINDOW_S = 3.0
 
 
 class Searcher(deployments.Searcher):
@@ -55,6 +60,8 @@
       soak: The run, which records requests and stamps.
       proxy: Proxy in front of it; daemons get the proxy's address.
       last_at: Monotonic time of its latest request, in seconds.
+      pause_s: Pause that it wants, in seconds; 0 if it serves requests.
+      requested_at: Monotonic times of all requests, in seconds.
     """
 
     def __init__(self, name, service, soak):
@@ -62,6 +69,8 @@
         self.soak = soak
         self.proxy = None
         self.last_at = 0.0
+        self.pause_s = 0.0
+        self.requested_at = []
 
     def refuse(self, error):
         self.soak.problems.append(f"{self.id} received a malformed request")
@@ -72,13 +81,25 @@
             return http1.Response(421, [], b"")
         request_id = request.header_values(b"x-request-id")[0]
         self.last_at = time.monotonic()
+        self.requested_at.append(self.last_at)
+        if self.pause_s:
+            headers = [
+                (b"x-request-id", request_id),
+                (b"x-not-run", b"1"),
+                (b"retry-after", b"%.2f" % self.pause_s),
+            ]
+            return http1.Response(503, headers, b"")
         self.soak.record_run(self, request_id)
         await asyncio.wait((disconnected,), timeout=self.work_s)
         if self.soak.rng.random() < self.soak.failure_rates.get(self.id, 0):
             stamp = self.soak.make_stamp(self, request_id, is_success=False)
             return http1.Response(500, [(b"x-server-stamp", stamp)], b"")
         stamp = self.soak.make_stamp(self, request_id, is_success=True)
-        headers = [(b"x-request-id", request_id), (b"x-server-stamp", stamp)]
+        headers = [
+            (b"x-request-id", request_id),
+            (b"x-server-stamp", stamp),
+            *self.said,
+        ]
         return http1.Response(200, headers, self.record)
 
     @property
@@ -197,6 +218,7 @@
                 caller.cancel()
             await asyncio.gather(*callers, return_exceptions=True)
             await self.check_drain()
+            await self.check_statements()
         for searcher in self.searchers.values():
             await searcher.proxy.close()
             await searcher.server.close(0)
@@ -322,6 +344,8 @@
             self.fail_requests,
             self.slow_searcher,
             self.replace_searcher,
+            self.limit_searcher,
+            self.pause_searcher,
             self.pause_daemon,
             self.restart_daemon,
             self.kill_daemon,
@@ -365,6 +389,19 @@
         await self.sleep_random()
         self.failure_rates.pop(searcher_id, None)
 
+    async def limit_searcher(self):
+        searcher = self.choose_searcher()
+        rate_per_s = self.rng.choice([b"0", b"2.5", b"20", b"no number"])
+        searcher.said = [(b"server-limit", rate_per_s)]
+        await self.sleep_random()
+        searcher.said = []
+
+    async def pause_searcher(self):
+        searcher = self.choose_searcher()
+        searcher.pause_s = self.rng.uniform(0.1, 1.0)
+        await self.sleep_random()
+        searcher.pause_s = 0.0
+
     async def replace_searcher(self):
         old = self.choose_searcher()
         if (
@@ -442,6 +479,8 @@
         self.deployment.store.status = 200
         for searcher in self.searchers.values():
             searcher.proxy.set_mode("pass")
+            searcher.said = []
+            searcher.pause_s = 0.0
         for daemon in self.deployment.daemons:
             try:
                 await self.deployment.wait_until(
@@ -476,6 +515,33 @@
         if old.last_at > published_at + DRAIN_TIMEOUT_S:
             self.problems.append(f"{old.id} got a request while draining")
 
+    async def check_statements(self):
+        """Checks that searchers get no more requests than they say they want.
+
+        No other fault is active. A limit holds from `CONTACT_S` after the first
+        answer that names it.
+        """
+        shards = SHARD_SETS[self.version % 2]
+        limited, leaving = (
+            next(s for s in self.searchers.values() if s.service == shard)
+            for shard in shards[1:3]
+        )
+        limited.said = [(b"server-limit", b"%d" % LIMIT_PER_S)]
+        leaving.said = [(b"server-leaving", b"1")]
+        began_at = time.monotonic()
+        while time.monotonic() < began_at + CONTACT_S + LIMIT_WINDOW_S:
+            for daemon in self.deployment.daemons:
+                await self.deployment.send_request(daemon)
+        judged_count = sum(
+            at >= began_at + CONTACT_S for at in limited.requested_at
+        )
+        if judged_count > LIMIT_PER_S * 1.5 * LIMIT_WINDOW_S + 5:
+            self.problems.append(
+                f"{limited.id} got {judged_count} requests over its limit"
+            )
+        if leaving.last_at > began_at + DRAIN_TIMEOUT_S:
+            self.problems.append(f"{leaving.id} got a request while leaving")
+
     def report(self):
         return {
             "seed": self.seed,
