--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -1,6 +1,8 @@
 import asyncio
 import collections
 
+import pytest
+
 from citrondoor import clock as clocks
 from citrondoor import entry
 from citrondoor import membership
@@ -421,15 +423,19 @@
     assert daemon.peers.store_read_by == "newer"
 
 
-def test_a_restarted_daemon_does_not_make_a_view_count_as_up_to_date(
-    monkeypatch,
-):
-    # The restarted daemon has read nothing, and its view is still on its way.
+@pytest.fixture
+def late_views(monkeypatch):
+    """Keeps what peers know of routes and searchers from arriving."""
+
     async def keep_view(self, link):
         pass
 
     monkeypatch.setattr(_peer_network.PeerNetwork, "_update_view", keep_view)
 
+
+@pytest.mark.usefixtures("late_views")
+def test_a_restarted_daemon_does_not_make_a_view_count_as_up_to_date():
+    # The restarted daemon has read nothing.
     async def body(nodes, ports, seeds):
         node = nodes[0]
         contents = entry.StoreContents(7, samples.route_set(3), [], [])
@@ -442,13 +448,8 @@
     run_cluster(body, count=2)
 
 
-def test_a_view_with_older_routes_than_a_peers_is_not_up_to_date(monkeypatch):
-    # The peer's routes are still on their way.
-    async def keep_view(self, link):
-        pass
-
-    monkeypatch.setattr(_peer_network.PeerNetwork, "_update_view", keep_view)
-
+@pytest.mark.usefixtures("late_views")
+def test_a_view_with_older_routes_than_a_peers_is_not_up_to_date():
     async def body(nodes, ports, seeds):
         for node, version in zip(nodes, (3, 4), strict=True):
             read_at = node.clock.now() - (0 if version == 4 else 60_000)
