--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -108,20 +108,22 @@
                 await asyncio.sleep(0.01)
         self._record.write("ready", vm=vm.name)
 
+    async def resolve(self, vm: Vm, zone: str) -> list[str]:
+        """Returns the addresses that a daemon names to a requester."""
+        target = f"/-/resolve?name=x&region=mn-central&zone={zone}"
+        response = await _get(vm.ports["directory"], target)
+        if response is None or response.status != 200:
+            return []
+        return json.loads(response.body)["addrs"]
+
     async def wait_joined(self, vm: Vm) -> None:
         """Waits until the daemon's directory names all VMs.
 
         Raises:
           TimeoutError: It did not within `READY_TIMEOUT_S`.
         """
-        target = f"/-/resolve?name=x&region=mn-central&zone={vm.zone}"
         async with asyncio.timeout(READY_TIMEOUT_S):
-            while True:
-                response = await _get(vm.ports["directory"], target)
-                if response is not None and response.status == 200:
-                    named = json.loads(response.body)["addrs"]
-                    if len(named) == len(self.vms):
-                        break
+            while len(await self.resolve(vm, vm.zone)) < len(self.vms):
                 await asyncio.sleep(0.01)
         self._record.write("joined", vm=vm.name)
 
