--- a/review/1/case.py
+++ b/review/1/case.py
@@ -175,6 +175,8 @@
     finally:
         if case.deployment is not None:
             case.deployment.stop()
+            # The stand-ins close their ends.
+            await asyncio.sleep(0.2)
         record.write("result", served=case.served, wrong=case.wrong)
         record.close()
     print(f"served {case.served}, with a foreign part {case.wrong}")
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -152,6 +152,8 @@
     finally:
         if case.deployment is not None:
             case.deployment.stop()
+            # The stand-ins close their ends.
+            await asyncio.sleep(0.2)
         record.write("result", answered=case.answered, lost=case.lost)
         record.close()
     print(f"answered {case.answered}, cut off {case.lost}")
