--- a/review/standins/searcher.py
+++ b/review/standins/searcher.py
@@ -30,6 +30,9 @@
     Attributes:
       slow_factor: Factor of `work_ms`.
       runs: Ids of the requests that it began to work on.
+      arrived_at: When each request arrived, by the steady clock.
+      cold_until: When it stops to be cold, by the steady clock.
+      cold_bound: Requests in a second above which it crashes while cold.
     """
 
     def __init__(
@@ -53,27 +56,47 @@
         self._record = record
         self._slots = asyncio.Semaphore(capacity)
         self._present = 0
+        self._sequence = 0
+        self._address = ""
+        self._born_ms = int(time.time() * 1000)
+        self.arrived_at: list[float] = []
+        self.cold_until = 0.0
+        self.cold_bound = float("inf")
+        self._writers: set[asyncio.StreamWriter] = set()
         self._server: asyncio.Server | None = None
 
     async def start(self, host: str, port: int, store: stores.Store) -> None:
         """Listens and registers in the store."""
         self._server = await asyncio.start_server(self._accept, host, port)
+        self._address = f"{host}:{port}"
+        self.register(store, 0)
+
+    def register(self, store: stores.Store, cold_ms: int) -> None:
+        """Writes the entry in the store.
+
+        Args:
+          store: The store.
+          cold_ms: How much longer it is cold.
+        """
+        self._sequence += 1
+        self.cold_until = time.monotonic() + cold_ms / 1000
         store.put(
             f"servers/{self.name}",
             {
                 "service": self.service,
-                "address": f"{host}:{port}",
+                "address": self._address,
                 "zone": self.zone,
                 "version": "v1",
                 "capacity": self._capacity,
                 "state": "ready",
-                "warmup-left-ms": 0,
-                "seq": 1,
-                "born": int(time.time() * 1000),
+                "warmup-left-ms": cold_ms,
+                "seq": self._sequence,
+                "born": self._born_ms,
             },
         )
 
     async def _accept(self, reader, writer) -> None:
+        self._writers.add(writer)
         try:
             while (request := await wire.read_message(reader)) is not None:
                 if not await self._serve(request, reader, writer):
@@ -81,6 +104,7 @@
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.transport.abort()
 
     async def _serve(self, request: wire.Message, reader, writer) -> bool:
@@ -105,6 +129,7 @@
         if headers.get("x-expect-instance", self.name) != self.name:
             return wire.encode_response(421, {"X-Instance-Id": self.name})
         request_id = headers["x-request-id"]
+        self._count_arrival()
         if self._present >= self._capacity + self._queue:
             return wire.encode_response(
                 503, {"X-Not-Run": "1", "X-Request-Id": request_id}
@@ -125,6 +150,18 @@
         finally:
             self._present -= 1
 
+    def _count_arrival(self) -> None:
+        """Counts a request; a cold searcher crashes if they are too many."""
+        now = time.monotonic()
+        self.arrived_at.append(now)
+        recent = sum(now - at < 1 for at in self.arrived_at)
+        if now < self.cold_until and recent > self.cold_bound:
+            self._record.write("crash", searcher=self.name, in_a_second=recent)
+            self._server.close()
+            for writer in self._writers:
+                writer.transport.abort()
+            raise ConnectionAbortedError
+
     async def _run(self, request_id: str) -> bytes:
         async with self._slots:
             self.runs.append(request_id)
