--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import socket
 import subprocess
@@ -19,12 +20,25 @@
 # Where peers dial each other if proxies stand between them.
 PROXY_HOST = "127.0.0.2"
 READY_TIMEOUT_S = 20.0
+PORTS = (18_000, 32_000)
+_taken_ports: set[int] = set()
 
 
 def free_port() -> int:
-    """Returns a port that nobody listens on."""
-    with socket.create_server((HOST, 0)) as listener:
-        return listener.getsockname()[1]
+    """Returns a port that nobody listens on, and that was not returned yet.
+
+    It is below those that the system gives to outgoing connections.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        if port in _taken_ports:
+            continue
+        _taken_ports.add(port)
+        try:
+            with socket.create_server((HOST, port)):
+                return port
+        except OSError:
+            continue
 
 
 class Vm:
