--- a/review/standins/searcher.py
+++ b/review/standins/searcher.py
@@ -71,12 +71,15 @@
         self._address = f"{host}:{port}"
         self.register(store, 0)
 
-    def register(self, store: stores.Store, cold_ms: int) -> None:
+    def register(
+        self, store: stores.Store, cold_ms: int, state: str = "ready"
+    ) -> None:
         """Writes the entry in the store.
 
         Args:
           store: The store.
           cold_ms: How much longer it is cold.
+          state: "ready" or "draining".
         """
         self._sequence += 1
         self.cold_until = time.monotonic() + cold_ms / 1000
@@ -88,7 +91,7 @@
                 "zone": self.zone,
                 "version": "v1",
                 "capacity": self._capacity,
-                "state": "ready",
+                "state": state,
                 "warmup-left-ms": cold_ms,
                 "seq": self._sequence,
                 "born": self._born_ms,
@@ -157,11 +160,15 @@
         recent = sum(now - at < 1 for at in self.arrived_at)
         if now < self.cold_until and recent > self.cold_bound:
             self._record.write("crash", searcher=self.name, in_a_second=recent)
-            self._server.close()
-            for writer in self._writers:
-                writer.transport.abort()
+            self.end()
             raise ConnectionAbortedError
 
+    def end(self) -> None:
+        """Ends like a process that exits or crashes."""
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _run(self, request_id: str) -> bytes:
         async with self._slots:
             self.runs.append(request_id)
