--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,7 +17,7 @@
 ZONES = ("ulaanbaatar-a", "ulaanbaatar-b", "darkhan", "erdenet")
 HOST_NAME = "search.example"
 SHARDS = 20
-WORK_MS = 120
+WORK_MS = 110
 DEADLINE_MS = 1200
 # `srv_slow`: share 0.15, x 9.5, for 8 s.
 SLOW_SHARDS = 3
