Ignore replies of peers to an earlier process on the same VM

Cause: what a peer serves was identified by the requester's VM and a token that each process counts from 1. The peer kept serving the killed process and returned the results on the link of the new one, which matched them to its own sends with the same tokens.

Change: requests to peers, their replies and cancellations name the origin, a number that each process draws at its start. Replies with another one are ignored and counted. A peer cancels what it serves for a process that has gone, since its sends kept the searchers' slots from the next process.

--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -104,6 +104,7 @@
             "relayed_sends": self._relay.counters.delegated,
             "relay_served": self._relay.counters.served_for_peers,
             "relay_lost": self._relay.counters.lost_replies,
+            "relay_stale": self._relay.counters.stale_replies,
             "extra_sends": limiter.granted_count,
             "extra_denied": limiter.denied_count,
             "limited_sends": self._dispatcher.limited_send_count,
@@ -159,6 +160,11 @@
         yield "relayed_sends", "Through peers.", lambda: relay.delegated
         yield "relay_served", "For peers.", lambda: relay.served_for_peers
         yield "relay_lost", "With a lost peer.", lambda: relay.lost_replies
+        yield (
+            "relay_stale",
+            "To an earlier process on this VM.",
+            lambda: relay.stale_replies,
+        )
         yield (
             "extra_sends",
             "Hedges and retries.",
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -221,7 +221,7 @@
         )
         self._dispatcher.set_pool(self._pool)
         self._relay = entry.Relay(
-            self._peers, self._view, self._clock, self._rng
+            self._peers, self._view, self._incarnation, self._clock, self._rng
         )
         self._relay.set_pool(self._pool)
         self._relay.set_searcher_state(
--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -72,6 +72,7 @@
 
     __slots__ = (
         "_clock",
+        "_disconnect_listeners",
         "_has_received_heartbeat",
         "_heartbeat_numbers",
         "_is_settled",
@@ -132,11 +133,13 @@
             self._answer,
             self._on_protocol_error,
             self._on_notification,
+            self._on_disconnect,
         )
         self._notification_handlers = functools.singledispatch(
             self._ignore_notification
         )
         self._link_down_listeners: list[Callable[[str], None]] = []
+        self._disconnect_listeners: list[Callable[[str], None]] = []
         self._outage_detector = discovery.StoreOutageDetector()
         self._started_at = clock.now()
         self._store_read_at: int | None = None
@@ -318,9 +321,23 @@
         self._notification_handlers.register(kind, handler)
 
     def add_link_down_listener(self, on_down: Callable[[str], None]) -> None:
-        """Registers `on_down`, called with the peer's name for a lost link."""
+        """Registers `on_down`, called with the peer's name for a lost link.
+
+        Only the link that this daemon opened to the peer counts.
+        """
         self._link_down_listeners.append(on_down)
 
+    def add_disconnect_listener(
+        self, on_disconnect: Callable[[str], None]
+    ) -> None:
+        """Registers a function called when no link to a peer is left.
+
+        Args:
+          on_disconnect: Called with the peer's name when the last link in
+            either direction is lost.
+        """
+        self._disconnect_listeners.append(on_disconnect)
+
     def announce_endpoint(self, endpoint: serving.EntryPlace) -> None:
         """Sets this daemon's endpoint and sends it to the peers immediately."""
         self._members.set_endpoint(endpoint)
@@ -561,12 +578,23 @@
             self._members.forget_sent(detail)
             for listener in self._link_down_listeners:
                 listener(detail)
+            self._on_disconnect(detail)
             asyncio.get_running_loop().call_later(
                 RECONNECT_GRACE_MS / clocks.MS_PER_S,
                 self._suspect_if_disconnected,
                 detail,
             )
 
+    def _on_disconnect(self, name: str) -> None:
+        """Reports a peer once it has no link in either direction."""
+        link = self._links.get(name)
+        if self._server.is_linked(name) or (
+            link is not None and link.is_connected
+        ):
+            return
+        for listener in self._disconnect_listeners:
+            listener(name)
+
     def _suspect_if_disconnected(self, name: str) -> None:
         """Suspects a peer whose lost link hasn't been restored.
 
--- a/citrondoor/entry/_relay.py
+++ b/citrondoor/entry/_relay.py
@@ -30,17 +30,30 @@
 MAX_PEER_SILENCE_MS = 150
 # Replies missing this long after the caller's deadline count as lost.
 REPLY_EXPIRY_MS = 1000
+# Random bits in the origin of a process, besides its incarnation: the time of
+# day, from which incarnations come, may be set back before a restart.
+ORIGIN_RANDOM_BITS = 20
 
 
 class RelayCounters:
-    """Counts of sends delegated to peers and served for them."""
+    """Counts of sends delegated to peers and served for them.
 
-    __slots__ = ("delegated", "lost_replies", "served_for_peers")
+    `stale_replies` counts replies to sends of an earlier process on this VM,
+    which are ignored.
+    """
+
+    __slots__ = (
+        "delegated",
+        "lost_replies",
+        "served_for_peers",
+        "stale_replies",
+    )
 
     def __init__(self):
         self.delegated = 0
         self.served_for_peers = 0
         self.lost_replies = 0
+        self.stale_replies = 0
 
 
 class _DelegatedBatch:
@@ -61,13 +74,15 @@
 class _ServedBatch:
     """State of the sends that this daemon makes for one message of a peer.
 
+    `requester` is the peer's VM, and `origin` identifies its process.
     `next_index` numbers the replies of the batch in the order of pruning.
     """
 
-    __slots__ = ("next_index", "pruner", "requester")
+    __slots__ = ("next_index", "origin", "pruner", "requester")
 
-    def __init__(self, requester: str, top: int):
+    def __init__(self, requester: str, origin: int, top: int):
         self.requester = requester
+        self.origin = origin
         self.pruner = fanout.Pruner(top)
         self.next_index = 0
 
@@ -80,6 +95,7 @@
     Args:
       peers: Links to peers.
       view: This daemon's view of the searchers.
+      incarnation: Incarnation of this daemon.
       clock: Clock of the daemon.
       rng: Random number generator.
     """
@@ -87,7 +103,9 @@
     __slots__ = (
         "_clock",
         "_last_reply_at",
+        "_newest_origins",
         "_on_served_reply",
+        "_origin",
         "_pause_ms",
         "_peer_of",
         "_peers",
@@ -106,6 +124,7 @@
         self,
         peers: _peer_network.PeerNetwork,
         view: _view.LocalView,
+        incarnation: int,
         clock: clocks.Clock,
         rng: random.Random,
     ):
@@ -114,6 +133,9 @@
         self._clock = clock
         self._rng = rng
         self._pool: links.HttpPool | None = None
+        self._origin = incarnation << ORIGIN_RANDOM_BITS | rng.getrandbits(
+            ORIGIN_RANDOM_BITS
+        )
         # For each peer, the delegated sends that have not ended, by token: the
         # batch of each and the function that takes its result.
         self._pending_sends: dict[
@@ -129,10 +151,16 @@
         self._served_sends: dict[
             int, tuple[_ServedBatch, int, serving.Upstream | None]
         ] = {}
-        self._served_token_of: dict[tuple[str, int], int] = {}
+        # By VM, origin and token of the requester.
+        self._served_token_of: dict[tuple[str, int, int], int] = {}
+        # For each VM, the highest origin of a request.
+        self._newest_origins: dict[str, int] = {}
         self._on_served_reply = lambda upstream, reply: None
         self._pause_ms = lambda upstream: 0
-        self._queued_replies: dict[str, list[messages.RelayReply]] = {}
+        # By VM and origin of the requester.
+        self._queued_replies: dict[
+            tuple[str, int], list[messages.RelayReply]
+        ] = {}
         self.counters = RelayCounters()
         peers.register_notification_handler(
             messages.RelayAsk, self.on_relay_request
@@ -144,6 +172,7 @@
             messages.RelayCancel, self.on_relay_cancel
         )
         peers.add_link_down_listener(self.on_link_down)
+        peers.add_disconnect_listener(self.on_disconnect)
 
     def set_pool(self, pool: links.HttpPool) -> None:
         """Sets the pool that sends, and knows which peers may connect."""
@@ -267,13 +296,22 @@
             if token in self._peer_of:
                 by_peer.setdefault(self._peer_of[token], []).append(token)
         for peer, cancelled in by_peer.items():
-            self._peers.notify(peer, messages.RelayCancel(cancelled))
+            self._peers.notify(
+                peer, messages.RelayCancel(cancelled, self._origin)
+            )
         return direct
 
     def on_relay_replies(
         self, message: messages.RelayReplies, sender: str
     ) -> None:
-        """Delivers the results of delegated sends that a peer returns."""
+        """Delivers the results of delegated sends that a peer returns.
+
+        A peer also returns what it did for an earlier process on this VM, whose
+        sends had the same tokens; these replies are ignored.
+        """
+        if message.origin != self._origin:
+            self.counters.stale_replies += len(message.replies)
+            return
         self._last_reply_at[sender] = self._clock.now()
         for reply in message.replies:
             pending_send = self._pending_sends.get(sender, {}).get(reply.token)
@@ -296,6 +334,14 @@
         for token in list(self._pending_sends.get(peer, ())):
             self._fail_lost(peer, token)
 
+    def on_disconnect(self, peer: str) -> None:
+        """Cancels the sends for a peer that can get no replies any more.
+
+        Its process has probably ended, and a searcher at work on them would
+        keep the requests of the next process waiting.
+        """
+        self._cancel_served(lambda vm, origin: vm == peer)
+
     def sweep(self, now: int) -> None:
         """Fails delegated sends whose replies are overdue."""
         for peer, pending in self._pending_sends.items():
@@ -314,7 +360,9 @@
             self._clock.now() + message.left_ms,
             True,
         )
-        batch = _ServedBatch(sender, message.top)
+        origin = message.origin
+        self._cancel_for_predecessors(sender, origin)
+        batch = _ServedBatch(sender, origin, message.top)
         for send in message.sends:
             self.counters.served_for_peers += 1
             token = next(self._tokens)
@@ -326,7 +374,7 @@
                 send.token,
                 upstream if is_sent else None,
             )
-            self._served_token_of[sender, send.token] = token
+            self._served_token_of[sender, origin, send.token] = token
             if not is_sent:
                 result = links.ExchangeResult(links.ExchangeOutcome.UNSENT)
                 if pause_ms:
@@ -345,10 +393,32 @@
     ) -> None:
         """Cancels sends that a peer no longer needs."""
         for token in message.tokens:
-            own_token = self._served_token_of.get((sender, token))
+            own_token = self._served_token_of.get(
+                (sender, message.origin, token)
+            )
             if own_token is not None:
                 self._pool.cancel(own_token)
 
+    def _cancel_for_predecessors(self, requester: str, origin: int) -> None:
+        """Cancels sends for earlier processes on a requester's VM."""
+        newest_origin = self._newest_origins.get(requester)
+        if newest_origin is not None and origin <= newest_origin:
+            return
+        self._newest_origins[requester] = origin
+        if newest_origin is None:
+            return
+        self._cancel_served(
+            lambda vm, served_origin: (
+                vm == requester and served_origin != origin
+            )
+        )
+
+    def _cancel_served(self, is_cancelled: Callable[[str, int], bool]) -> None:
+        """Cancels the sends for some requesters, given by VM and origin."""
+        for (vm, origin, _), token in list(self._served_token_of.items()):
+            if is_cancelled(vm, origin):
+                self._pool.cancel(token)
+
     def _make_relay_request(
         self,
         outbound: links.OutboundRequest,
@@ -370,6 +440,7 @@
                 messages.RelaySend(send.token, send.replica.upstream.id)
                 for send in sends
             ],
+            self._origin,
         )
 
     def _is_silent(self, peer: str, now: int) -> bool:
@@ -406,7 +477,8 @@
         batch, requester_token, upstream = self._served_sends.pop(token)
         if upstream is not None:
             self._on_served_reply(upstream, reply)
-        del self._served_token_of[batch.requester, requester_token]
+        requester = (batch.requester, batch.origin)
+        del self._served_token_of[*requester, requester_token]
         reply_message = messages.RelayReply(
             requester_token, reply.outcome.value
         )
@@ -420,18 +492,18 @@
             reply_message.stamp = reply.stamp
         if reply.outcome == links.ExchangeOutcome.ANSWERED:
             reply_message.body = batch.pruner.prune(reply.response.body)
-        queued = self._queued_replies.setdefault(batch.requester, [])
+        queued = self._queued_replies.setdefault(requester, [])
         queued.append(reply_message)
         if len(queued) == 1:
             # Replies of one iteration of the event loop share a message.
             loop = asyncio.get_running_loop()
-            loop.call_soon(self._flush, batch.requester)
+            loop.call_soon(self._flush, *requester)
 
-    def _flush(self, requester: str) -> None:
-        replies = self._queued_replies.pop(requester, [])
+    def _flush(self, requester: str, origin: int) -> None:
+        replies = self._queued_replies.pop((requester, origin), [])
         # The result is ignored: if the link is down, the requester has failed
         # these sends already.
-        self._peers.notify(requester, messages.RelayReplies(replies))
+        self._peers.notify(requester, messages.RelayReplies(replies, origin))
 
 
 def _decode_reply(reply: messages.RelayReply) -> links.ExchangeResult:
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -397,11 +397,13 @@
         failed authentication, a malformed frame or a timeout, and for each
         request on which the handler failed unexpectedly.
       on_notification: Called with the sender's name and each notification.
+      on_disconnect: Called with the name of a peer whose last link has closed.
     """
 
     __slots__ = (
         "_channels",
         "_handler",
+        "_on_disconnect",
         "_on_notification",
         "_on_protocol_error",
         "_server",
@@ -417,9 +419,11 @@
         handler: Handler,
         on_protocol_error: Callable[[], None],
         on_notification: Callable[[str, messages.Body], None] | None = None,
+        on_disconnect: Callable[[str], None] = lambda name: None,
     ):
         self._settings = settings
         self._handler = handler
+        self._on_disconnect = on_disconnect
         self._on_protocol_error = on_protocol_error
         self._on_notification = on_notification
         self._server: asyncio.Server | None = None
@@ -438,6 +442,10 @@
         """Starts to listen; port 0 picks a free port."""
         self._server = await asyncio.start_server(self._accept, address, port)
 
+    def is_linked(self, name: str) -> bool:
+        """Returns whether a peer has a link to this daemon."""
+        return name in self._channels
+
     def notify(self, name: str, body: messages.Body) -> bool:
         """Notifies a peer on its link; returns False if it has none."""
         channel = self._channels.get(name)
@@ -494,6 +502,7 @@
             # A peer that has reconnected has a newer channel here: keep it.
             if self._channels.get(name) is channel:
                 del self._channels[name]
+                self._on_disconnect(name)
 
     async def _process_messages(self, channel: _Channel) -> None:
         async with asyncio.TaskGroup() as group:
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -358,6 +358,9 @@
   // Records in the merged answer; the peer may drop records that rank lower.
   7: required i32 top
   8: required list<RelaySend> sends
+  // Number that the requester's process drew when it started. The replies return
+  // it, because a later process on the same VM may use the same tokens.
+  9: i64 origin = 0
 }
 
 // What a searcher says of itself in its responses.
@@ -396,8 +399,17 @@
   9: optional SearcherStatements statements
 }
 
-struct RelayReplies { 1: required list<RelayReply> replies }
-struct RelayCancel { 1: required list<i64> tokens }
+struct RelayReplies {
+  1: required list<RelayReply> replies
+  // That of the RelayAsk; 0 from a daemon of an earlier version.
+  2: i64 origin = 0
+}
+
+struct RelayCancel {
+  1: required list<i64> tokens
+  // That of the RelayAsk.
+  2: i64 origin = 0
+}
 
 // Exactly one field is set.
 struct Body {
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -463,3 +463,16 @@
         assert behind.peers.store_age_ms(behind.clock.now()) >= 60_000
 
     run_cluster(body, count=2)
+
+
+def test_a_peer_counts_as_disconnected_once_both_links_are_lost():
+    async def body(nodes, ports, seeds):
+        disconnected = []
+        nodes[0].peers.add_disconnect_listener(disconnected.append)
+        assert disconnected == []
+        nodes[1].tick_task.cancel()
+        await nodes[1].peers.close()
+        await wait_until(lambda: disconnected)
+        assert set(disconnected) == {"vm-1"}
+
+    run_cluster(body)
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -30,6 +30,7 @@
         self.messages_to_drop = 0
         self.handle = functools.singledispatch(lambda message, sender: None)
         self.on_down = None
+        self.on_disconnect = None
 
     def reachable_in(self, zone):
         is_reachable = self.is_connected and self.other.zone == zone
@@ -51,6 +52,9 @@
     def add_link_down_listener(self, on_down):
         self.on_down = on_down
 
+    def add_disconnect_listener(self, on_disconnect):
+        self.on_disconnect = on_disconnect
+
 
 class FakePool:
     """Keeps exchanges pending until a test calls `answer`."""
@@ -107,15 +111,29 @@
             view.apply_store_contents(
                 entry.StoreContents(1, samples.route_set(1), upstreams, []), 0
             )
-            relay = entry.Relay(peers, view, self.clock, random.Random(1))
-            relay.set_pool(self.pool)
-            self.relays.append(relay)
+            self.relays.append(self._make_relay(peers, view))
         self.serving_view = view
         self.sends = [
             fanout.Send(n + 1, upstream.backend, fanout.ReplicaState(upstream))
             for n, upstream in enumerate(upstreams)
         ]
 
+    def _make_relay(self, peers, view):
+        incarnation = self.clock.unix_ms()
+        relay = entry.Relay(
+            peers, view, incarnation, self.clock, random.Random(1)
+        )
+        relay.set_pool(self.pool)
+        return relay
+
+    def restart_requester(self):
+        """Replaces the delegating daemon; its tokens begin anew."""
+        self.clock.advance(300)
+        self.results = {}
+        self.relays[0] = self._make_relay(
+            self.peer_networks[0], self.serving_view
+        )
+
     def submit(self, count=4, min_sends=_relay.MIN_SENDS_PER_BATCH):
         outbound = links.OutboundRequest(
             b"r1",
@@ -339,3 +357,65 @@
         assert pair.results[1].statements.pause_ms == 700
 
     run(body)
+
+
+def test_a_restarted_daemon_ignores_answers_meant_for_its_predecessor():
+    # MIXED: they were merged into answers to requests with the same tokens.
+    async def body(pair):
+        assert pair.submit()
+        await pair.settle()
+        served_before = dict(pair.pool.exchanges)
+        pair.restart_requester()
+        assert pair.submit()
+        await pair.settle()
+        for upstream_id, exchange in served_before.items():
+            exchange.deliver(
+                exchange.token,
+                links.ExchangeResult(
+                    OUTCOME.ANSWERED,
+                    http1.Response(200, [], records(9)),
+                    b"predecessor",
+                ),
+            )
+            await pair.settle()
+            pair.pool.answer(upstream_id, records(5))
+        await pair.settle()
+        stamps = {reply.stamp for reply in pair.results.values()}
+        assert stamps == {b"i-0", b"i-1", b"i-2", b"i-3"}
+        assert pair.relays[0].counters.stale_replies == 4
+
+    run(body)
+
+
+def test_a_peer_cancels_what_it_serves_for_a_daemon_that_has_gone():
+    # The searchers' slots were still taken when the daemon was back.
+    async def body(pair):
+        assert pair.submit()
+        await pair.settle()
+        pair.peer_networks[1].on_disconnect("vm-c")
+        assert pair.pool.cancelled == []
+        pair.peer_networks[1].on_disconnect("vm-a")
+        assert set(pair.pool.cancelled) == {
+            exchange.token for exchange in pair.pool.exchanges.values()
+        }
+
+    run(body)
+
+
+def test_a_peer_cancels_what_it_serves_for_a_daemon_that_has_restarted():
+    async def body(pair):
+        assert pair.submit()
+        await pair.settle()
+        served_before = {e.token for e in pair.pool.exchanges.values()}
+        pair.restart_requester()
+        assert pair.submit(count=2)
+        await pair.settle()
+        assert set(pair.pool.cancelled) == served_before
+        # A cancellation names the sends of the new process only.
+        pair.relays[0].cancel([1])
+        await pair.settle()
+        assert set(pair.pool.cancelled) - served_before == {
+            pair.pool.exchanges["i-0"].token
+        }
+
+    run(body)
