Refuse what a leaving daemon may not finish, and answer all it accepted

Cause: a leaving daemon accepted requests for 0.6 of the grace and ended at 0.95, whatever the requests' deadlines; what was unfinished got no answer.

Change: a request that must not be repeated is refused with 503 if its timeout ends after the daemon's answers, another one if most answers of its route would. At 0.92 of the grace each accepted request is answered with what there is. The last request received on a connection closes it, not the first.

--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -30,9 +30,11 @@
 # Interval at which the settings file is checked for a change.
 SETTINGS_CHECK_INTERVAL_S = 1.0
 # Fractions of `grace_s`, from the start of a shutdown. Until the first, the
-# daemon accepts requests, because callers may still use an older list of
-# entries. Until the second, it finishes the requests that it has received.
+# daemon accepts requests that it can finish, because callers may still use an
+# older list of entries. At the second, it answers all that are unfinished.
+# Until the third, it waits for callers to receive their answers.
 ACCEPT_FRACTION = 0.6
+ANSWER_FRACTION = 0.92
 FINISH_FRACTION = 0.95
 # Part of an unreadable header value that is written to the log.
 MAX_LOGGED_HEADER_BYTES = 64
@@ -336,15 +338,18 @@
             )
 
     async def _leave(self) -> None:
-        """Shuts down; received requests have `FINISH_FRACTION` of `grace_s`.
+        """Shuts down; accepted requests have `ANSWER_FRACTION` of `grace_s`.
 
         First announces the departure, so that peers leave this daemon out of
-        the directory, and drains callers' connections; then waits for received
-        requests and closes the links to searchers and peers.
+        the directory, and drains callers' connections; then waits until all
+        accepted requests are answered, and closes the links to searchers and
+        peers.
         """
         grace_s = self._settings.bounds.grace_s
         started_at = asyncio.get_running_loop().time()
         self._lifecycle.leave()
+        answer_ms = int(grace_s * ANSWER_FRACTION * clocks.MS_PER_S)
+        self._dispatcher.begin_shutdown(self._clock.now() + answer_ms)
         self._peers.announce_leaving()
         self._caller_server.begin_drain()
         await asyncio.sleep(grace_s * ACCEPT_FRACTION)
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -15,6 +15,7 @@
 from citrondoor.entry import _messages
 from citrondoor.entry import _relay
 from citrondoor.entry import _running
+from citrondoor.entry import _shutdown
 from citrondoor.entry import _view
 from citrondoor.schema import messages
 from citrondoor.schema import serving
@@ -101,6 +102,8 @@
         "_relay",
         "_replicas",
         "_rng",
+        "_running",
+        "_shutdown",
         "_stated_rates",
         "_tokens",
         "_view",
@@ -140,6 +143,8 @@
         self._pending_sends: dict[
             int, tuple[fanout.Send, _running.RunningRequest]
         ] = {}
+        self._running: set[_running.RunningRequest] = set()
+        self._shutdown = _shutdown.Shutdown()
         self._on_news = lambda upstream, statements: None
         self.counters = DispatchCounters()
         self.in_flight = 0
@@ -167,6 +172,18 @@
         self._hedge_retry_limiter.set_bounds(bounds)
         self._warmup_rate.set_bounds(bounds)
 
+    def begin_shutdown(self, answers_until: int) -> None:
+        """Limits the time of all requests, and refuses those that need more.
+
+        Args:
+          answers_until: Clock reading, in ms, at which each request that has
+            been accepted is answered, with what has arrived.
+        """
+        self._shutdown.begin(answers_until)
+        for running in self._running:
+            running.fanout.end_by(answers_until)
+            running.wake()
+
     def set_members(self, live_vms: list[str], member_count: int) -> None:
         """Updates the daemons that share the cluster-wide limits.
 
@@ -347,11 +364,25 @@
             return refusals.unknown_route(
                 request.host, request.http.path, self._view.routes.version
             )
+        deadline_at = self._deadline_at(request, route.definition)
+        now = self._clock.now()
+        missing_ms = self._shutdown.missing_ms(
+            route.is_idempotent,
+            deadline_at - now,
+            self._latencies.slow_ms(route.definition.name),
+            now,
+        )
+        if missing_ms:
+            return refusals.ends_too_soon(missing_ms)
         backends = routes.choose_backends(route.target, self._rng)
-        running = self._prepare(request, route, backends)
+        running = self._prepare(
+            request, route, backends, self._shutdown.limit(deadline_at)
+        )
+        self._running.add(running)
         try:
             status = await self._run_fanout(running, disconnected)
         finally:
+            self._running.discard(running)
             running.is_finished = True
             self._cancel_sends(
                 [send.token for send in running.fanout.pending()]
@@ -362,17 +393,23 @@
         self._record_outcome(request, running, status)
         return answer
 
+    @staticmethod
+    def _deadline_at(
+        request: _messages.CallerRequest, route: serving.Route
+    ) -> int:
+        timeout_ms = route.timeout_ms
+        if request.deadline_ms is not None:
+            timeout_ms = min(timeout_ms, request.deadline_ms)
+        return request.arrived_at + timeout_ms
+
     def _prepare(
         self,
         request: _messages.CallerRequest,
         route: routes.ResolvedRoute,
         backends: tuple[str, ...],
+        deadline_at: int,
     ) -> _running.RunningRequest:
         definition = route.definition
-        timeout_ms = definition.timeout_ms
-        if request.deadline_ms is not None:
-            timeout_ms = min(timeout_ms, request.deadline_ms)
-        deadline_at = request.arrived_at + timeout_ms
         self._latencies.on_request_start(definition.name)
         median_ms = self._latencies.median_ms(definition.name)
         reply_ms = ANSWER_WRITE_MS + (
@@ -604,12 +641,9 @@
         outcome = _OUTCOMES[reply.outcome]
         state = running.fanout
         self._submit(running, state.on_send_done(token, outcome, now))
-        wakeup = running.wakeup
-        if wakeup is None or wakeup.done():
-            return
         is_decided = state.status(now) != fanout.FanoutStatus.PENDING
         if is_decided or state.next_timer_at() < running.next_wakeup_at:
-            wakeup.set_result(None)
+            running.wake()
 
     def _record_reply(
         self,
@@ -682,6 +716,7 @@
             waiting_for=pending_sends,
             took_ms=now - request.arrived_at,
             deadline_ms=request.deadline_ms,
+            shutting_down=self._shutdown.has_begun,
             upstream_revision=self._view.registry.revision,
         )
 
--- a/citrondoor/entry/_running.py
+++ b/citrondoor/entry/_running.py
@@ -50,3 +50,8 @@
         # future that wakes it earlier.
         self.next_wakeup_at = 0.0
         self.wakeup: asyncio.Future | None = None
+
+    def wake(self) -> None:
+        """Wakes the serving task if it sleeps."""
+        if self.wakeup is not None and not self.wakeup.done():
+            self.wakeup.set_result(None)
--- a/citrondoor/fanout/_fanout.py
+++ b/citrondoor/fanout/_fanout.py
@@ -241,6 +241,10 @@
         """Names of the groups that have not answered."""
         return [group.name for group in self._groups if not group.is_answered]
 
+    def end_by(self, give_up_at: int) -> None:
+        """Makes the request end at a clock reading, if not before."""
+        self._options.give_up_at = min(self._options.give_up_at, give_up_at)
+
     def pending(self) -> list[Send]:
         """Returns the sends that have not ended."""
         return [
--- a/citrondoor/fanout/_latency.py
+++ b/citrondoor/fanout/_latency.py
@@ -13,8 +13,10 @@
 # searchers is slow or paused, it is still a latency of the others, their 94th
 # percentile.
 HEDGE_QUANTILE = 0.75
-# Hedge delay as a multiple of that quantile. If the logarithm of the latencies
-# has a standard deviation of 0.35, it is about their 97th percentile.
+# Nearly all answers of a route arrive within this quantile of its latencies.
+SLOW_QUANTILE = 0.99
+# Hedge delay as a multiple of `HEDGE_QUANTILE`. If the logarithm of the
+# latencies has a standard deviation of 0.35, it is about their 97th percentile.
 HEDGE_FACTOR = 1.5
 # A hedge sent after more than this share of the target would often be answered
 # after the target.
@@ -111,6 +113,14 @@
             else histogram.median_ms
         )
 
+    def slow_ms(self, route_name: str) -> float | None:
+        """Returns the time within which nearly all sub-requests are answered.
+
+        None if there are too few latencies of the route.
+        """
+        histogram = self._histograms.get(route_name)
+        return None if histogram is None else histogram.quantile(SLOW_QUANTILE)
+
     def hedge_delay_ms(
         self, route_name: str, target_ms: int, remaining_ms: int | None = None
     ) -> float:
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -125,6 +125,11 @@
         self._mark_disconnected()
         self._end_drain()
 
+    @property
+    def has_queued_request(self) -> bool:
+        """Whether a complete request waits for the one in progress."""
+        return bool(self._requests)
+
     @property
     def has_partial_request(self) -> bool:
         """Whether a request has been received in part only."""
@@ -298,10 +303,10 @@
         )
 
     def begin_drain(self) -> None:
-        """Closes each connection after its next response.
+        """Closes each connection once its received requests are answered.
 
-        The response says `connection: close`, so that the caller connects to
-        another daemon. New connections are still accepted.
+        The last response says `connection: close`, so that the caller connects
+        to another daemon. New connections are still accepted.
         """
         self._is_draining = True
 
@@ -387,7 +392,10 @@
             self.active_requests -= 1
         if response is None or channel.transport.is_closing():
             return False
-        keeps_alive = request.keeps_alive and not self._is_draining
+        # A request that has been received on the connection is answered first.
+        keeps_alive = request.keeps_alive and (
+            not self._is_draining or channel.has_queued_request
+        )
         if request.method == b"HEAD":
             response.body = b""
         channel.transport.write(http1.encode_response(response, keeps_alive))
--- a/citrondoor/refusals.py
+++ b/citrondoor/refusals.py
@@ -143,6 +143,16 @@
     )
 
 
+def ends_too_soon(missing_ms: int) -> messages.Refusal:
+    """The daemon would end before the request does."""
+    return messages.Refusal(
+        _Kind.LEAVING,
+        f"this entry shuts down {missing_ms} ms before the request may end",
+        "send the same request to another entry",
+        _NO,
+    )
+
+
 def zone_out(zone: str, others: list[str]) -> messages.Refusal:
     """The daemon's zone or VM is out of service."""
     named = ", ".join(others) or "none known"
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -657,3 +657,91 @@
     assert answer.ran == messages.Ran.NO
     assert time.monotonic() - started_at < 0.1
     assert len(harness.pool.sent) == sent_before
+
+
+class ShutdownHarness(Harness):
+    """A dispatcher whose shutdown begins while a request is at work."""
+
+    def serve_in_shutdown(self, caller_request, shutdown_after_s, left_ms):
+        async def serve_once():
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                shutdown_after_s,
+                lambda: self.dispatcher.begin_shutdown(
+                    clocks.Clock().now() + left_ms
+                ),
+            )
+            # Requests that arrive after the shutdown has begun.
+            await asyncio.sleep(0 if shutdown_after_s else 0.01)
+            return await self.dispatcher.serve(
+                caller_request(), loop.create_future()
+            )
+
+        return asyncio.run(serve_once())
+
+
+UNREPEATABLE_ROUTE = samples.route(
+    "/n/", kind=serving.RouteKind.NON_IDEMPOTENT, timeout_ms=400
+)
+
+
+def make_shutdown_harness(respond):
+    return ShutdownHarness(
+        respond,
+        [UNREPEATABLE_ROUTE, samples.route(timeout_ms=400), SCATTER_ROUTE],
+        [samples.upstream(), *REPLICAS],
+    )
+
+
+def test_a_request_at_work_is_answered_before_a_shutdown_ends():
+    # LOST: its connection was closed without an answer.
+    for path in ("/n/x", "/a/x"):
+        harness = make_shutdown_harness(lambda upstream, outbound: (0, None))
+        began_at = time.monotonic()
+        answer = harness.serve_in_shutdown(
+            lambda path=path: make_request(path), 0.05, 100
+        )
+        assert time.monotonic() - began_at < 0.3
+        assert answer.kind == messages.RefusalKind.UPSTREAM_FAILED
+        assert answer.ran == messages.Ran.UNKNOWN
+
+
+def test_a_query_is_answered_from_what_is_in_when_a_shutdown_ends():
+    def respond(upstream, outbound):
+        is_late = upstream.backend == "s1"
+        return 0.001, None if is_late else answered(upstream, records(1))
+
+    harness = make_shutdown_harness(respond)
+    answer = harness.serve_in_shutdown(make_request, 0.02, 30)
+    assert (len(answer.stamps), answer.missing_count) == (3, 1)
+
+
+def test_a_leaving_daemon_refuses_what_it_may_not_finish():
+    # LOST: it was accepted and cut off when the process ended.
+    harness = make_shutdown_harness(
+        lambda upstream, outbound: (0.0, answered(upstream))
+    )
+    for path in ("/n/x", "/a/x"):
+        answer = harness.serve_in_shutdown(
+            lambda path=path: make_request(path), 0, 300
+        )
+        assert answer.kind == messages.RefusalKind.LEAVING
+        assert answer.ran == messages.Ran.NO
+    assert harness.pool.sent == []
+
+
+def test_a_leaving_daemon_accepts_what_it_can_finish():
+    harness = make_shutdown_harness(
+        lambda upstream, outbound: (0.0, answered(upstream))
+    )
+    for path in ("/n/x", "/a/x"):
+        answer = harness.serve_in_shutdown(
+            lambda path=path: make_request(path), 0, 500
+        )
+        assert isinstance(answer, entry.ForwardedAnswer)
+    # With answers known, the longest time no longer counts for those that may
+    # be repeated.
+    for _ in range(100):
+        harness.serve(make_request("/a/x"))
+    answer = harness.serve_in_shutdown(lambda: make_request("/a/x"), 0, 300)
+    assert isinstance(answer, entry.ForwardedAnswer)
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -304,3 +304,22 @@
     async def handle(self, request, disconnected):
         self.count += 1
         return http1.Response(200, [], b"x" * 2_000_000)
+
+
+def test_a_request_received_behind_another_is_answered_when_the_server_drains():
+    # LOST: the response to the first closed the connection.
+    async def body():
+        server = await start(EchoHandler(pause_s=0.05))
+        reader, writer = await connect(server)
+        writer.write(GET + GET.replace(b"/a", b"/b"))
+        await asyncio.sleep(0.02)
+        server.begin_drain()
+        async with asyncio.timeout(2):
+            received = await reader.read(-1)
+        writer.close()
+        first, second = http1.ResponseReader().feed(received)
+        assert (first.body, second.body) == (b"/a", b"/b")
+        assert first.header_value(b"connection") is None
+        assert second.header_value(b"connection") == b"close"
+
+    run(body())
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -83,6 +83,64 @@
     run(tmp_path, body, grace_s=3.0)
 
 
+def test_a_shutdown_answers_what_its_searchers_never_finish(tmp_path):
+    # LOST: requests at work at the end of the grace, and those sent too late to
+    # end in it, had their connections closed without an answer.
+    async def body(deployment):
+        first, second = deployment.daemons
+        config = deployment.config(5)
+        for route in config["routes"]:
+            route["timeout-ms"] = 6000
+        slow_route = config["routes"][1] | {
+            "name": "slow",
+            "prefix": "/slow/",
+            "kind": "idempotent",
+        }
+        config["routes"].append(slow_route)
+        deployment.store.put("op/config", config)
+
+        async def is_active():
+            response = await deployment.send_request(second, b"/slow/x")
+            return response.status == 200
+
+        await deployment.wait_until(is_active)
+        for searcher in deployment.searchers:
+            searcher.work_s = 10.0
+        targets = (b"/all/x", b"/once/x", b"/slow/x")
+
+        def send_all(prefix):
+            return [
+                asyncio.create_task(
+                    deployments.send_http_request(
+                        second.front,
+                        target,
+                        [
+                            (b"x-request-id", prefix + b"%d" % n),
+                            (b"x-request-deadline", b"6000"),
+                        ],
+                    )
+                )
+                for target in targets
+                for n in range(3)
+            ]
+
+        early = send_all(b"early-")
+        await asyncio.sleep(0.3)
+        second.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(1.0)
+        late = send_all(b"late-")
+        late_answers = await asyncio.wait_for(asyncio.gather(*late), 0.5)
+        assert [a.status for a in late_answers] == [503] * len(late)
+        early_answers = await asyncio.gather(*early)
+        assert [a.status for a in early_answers] == [502] * len(early)
+        ran = {request_id for s in deployment.searchers for request_id in s.ran}
+        # Nothing that was refused has run.
+        assert not [name for name in ran if name.startswith(b"late-")]
+        assert await second.process.wait() == 0
+
+    run(tmp_path, body, grace_s=3.0)
+
+
 def test_a_new_version_becomes_active_on_all_daemons_and_stays_active(tmp_path):
     async def body(deployment):
         config = deployment.config(5)
