Send a request once on each connection to a searcher

Cause: after a refusal the request was sent again to the same searcher on the same connection. A second copy of the refusal names the request, so it was taken for the answer to the second attempt, which the searcher ran.

Change: a connection remembers the ids that it has carried until the requests' deadlines. A further attempt takes another connection; at the limit an idle one is closed for a new one. An exchange that no connection may carry, while none is being opened, ends as unsent at once.

--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -10,6 +10,7 @@
 from citrondoor import clock as clocks
 from citrondoor import limits
 from citrondoor.codecs import http1
+from citrondoor.links import _carried_ids
 from citrondoor.links import _exchanges
 from citrondoor.schema import serving
 
@@ -196,6 +197,7 @@
     """
 
     __slots__ = (
+        "_carried_ids",
         "_channel",
         "_last_stamp",
         "_link",
@@ -211,6 +213,7 @@
     def __init__(self, link: "HttpSearcherLink"):
         self._link = link
         self._channel = _Channel(link.held_bytes_limiter)
+        self._carried_ids = _carried_ids.CarriedIds()
         self._last_stamp = b""
         self._task: asyncio.Task | None = None
         self.exchange: _exchanges.Exchange | None = None
@@ -229,6 +232,18 @@
         """Whether it is open and can serve another exchange."""
         return self._channel.transport is not None and self._channel.is_usable
 
+    @property
+    def is_opening(self) -> bool:
+        """Whether it is being opened."""
+        return self._channel.transport is None
+
+    def may_carry(self, outbound: _exchanges.OutboundRequest) -> bool:
+        """Returns whether it has not carried an earlier attempt of a request.
+
+        A second copy of the answer to that attempt may still arrive.
+        """
+        return outbound.request_id not in self._carried_ids
+
     def start(self) -> None:
         """Starts the connection's task."""
         self._task = asyncio.create_task(self._run())
@@ -290,6 +305,7 @@
             # assigned. It ends as unsent, or on another connection.
             self._link.requeue(self)
             return False
+        self._link.record_carried(exchange, self._carried_ids)
         self._channel.transport.write(self._link.encode(exchange))
         self.was_sent = True
         while True:
@@ -398,7 +414,7 @@
         becomes idle; a new one is opened if the limit allows. Without an open
         connection and with a limit of 0, the exchange ends at once, as unsent.
         """
-        connection = self._pop_idle(exchange.outbound.is_idempotent)
+        connection = self._pop_idle(exchange.outbound)
         if connection is not None:
             connection.assign(exchange)
             return
@@ -406,8 +422,8 @@
         if len(self._connections) < self._max_connections:
             self.dial()
         elif self._idle:
-            # The idle connections have been idle for too long for this request;
-            # closing one makes room for a new connection.
+            # The idle connections have been idle for too long for this request
+            # or have carried it before; closing one makes room for a new one.
             oldest = self._idle.pop(0)
             oldest.replace_on_close = True
             oldest.abort()
@@ -480,6 +496,15 @@
             exchange.outbound, self.upstream.id, max(1, remaining_ms)
         )
 
+    def record_carried(
+        self, exchange: _exchanges.Exchange, carried: _carried_ids.CarriedIds
+    ) -> None:
+        """Adds the request of an exchange to those of its connection."""
+        outbound = exchange.outbound
+        carried.add(
+            outbound.request_id, outbound.deadline_at, self._clock.now()
+        )
+
     def decode(
         self,
         exchange: _exchanges.Exchange,
@@ -525,9 +550,19 @@
         self._on_unreachable(self.upstream)
 
     def on_idle(self, connection: _Connection) -> None:
-        """Gives a connection a queued exchange or adds it to the idle ones."""
-        if self._queued:
-            connection.assign(self._queued.popleft())
+        """Gives a connection a queued exchange or adds it to the idle ones.
+
+        It is closed if what is queued must not be sent on it and no connection
+        is being opened.
+        """
+        for exchange in self._queued:
+            if connection.may_carry(exchange.outbound):
+                self._queued.remove(exchange)
+                connection.assign(exchange)
+                return
+        if self._queued and not self._is_opening:
+            connection.replace_on_close = True
+            connection.abort()
             return
         if len(self._connections) > self._max_connections:
             connection.abort()
@@ -566,24 +601,37 @@
             and len(self._connections) < self._max_connections
         ):
             self.dial()
-        if not self._connections:
+        if len(self._idle) == len(self._connections):
+            # No connection is being opened or will become idle.
             self.end_queued()
 
+    @property
+    def _is_opening(self) -> bool:
+        return any(connection.is_opening for connection in self._connections)
+
     def _abort_cancelled(self, connection: _Connection, token: int) -> None:
         if connection.exchange and connection.exchange.token == token:
             self._counters.aborts += 1
             connection.abort()
 
-    def _pop_idle(self, is_idempotent: bool) -> _Connection | None:
+    def _pop_idle(
+        self, outbound: _exchanges.OutboundRequest
+    ) -> _Connection | None:
+        """Removes and returns the idle connection used last that suits."""
         now = self._clock.now()
-        while self._idle:
-            connection = self._idle.pop()
+        for connection in reversed(list(self._idle)):
             idle_ms = now - connection.idle_since
             if not connection.is_usable or idle_ms >= connection.idle_limit_ms:
+                self._idle.remove(connection)
                 connection.abort()
-            elif is_idempotent or idle_ms < NON_IDEMPOTENT_MAX_IDLE_MS:
-                return connection
-            else:
-                self._idle.append(connection)
+                continue
+            if (
+                not outbound.is_idempotent
+                and idle_ms >= NON_IDEMPOTENT_MAX_IDLE_MS
+            ):
+                # The others have been idle for longer.
                 return None
+            if connection.may_carry(outbound):
+                self._idle.remove(connection)
+                return connection
         return None
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -94,10 +94,10 @@
             is_settling=False,
         )
 
-    def send(self, token, is_idempotent=True, target=b"/a"):
+    def send(self, token, is_idempotent=True, target=b"/a", request_id=b""):
         clock = clocks.Clock()
         outbound = links.OutboundRequest(
-            b"r%d" % token,
+            request_id or b"r%d" % token,
             b"GET",
             target,
             [(b"host", b"h")],
@@ -644,3 +644,78 @@
     first, second, malformed = run(answer, body)
     assert (first, second) == (OUTCOME.BROKEN, OUTCOME.ANSWERED)
     assert malformed == ["'unexpected'"]
+
+
+def make_repeating_refuser():
+    """Returns a searcher's behaviour: it refuses each request at first.
+
+    The first answer on each connection is repeated where the next is due.
+    """
+    seen = set()
+    copies = {}
+
+    async def behave(request, writer):
+        request_id = request.header_values(b"x-request-id")[0]
+        writer.write(copies.pop(writer, b""))
+        if request_id in seen:
+            writer.write(encode_answer(request))
+            return
+        seen.add(request_id)
+        copies[writer] = (
+            b"HTTP/1.1 503 Full\r\nx-not-run: 1\r\n"
+            b"x-request-id: %b\r\ncontent-length: 0\r\n\r\n" % request_id
+        )
+        writer.write(copies[writer])
+
+    return behave
+
+
+@pytest.mark.parametrize("daemon_count", [1, 13])
+def test_a_repeated_refusal_does_not_answer_the_next_attempt(daemon_count):
+    # TWICE: the copy names the request, which the searcher ran this time. With
+    # 13 daemons each has one connection to the searcher.
+    async def body(harness):
+        harness.set_daemon_count(daemon_count)
+        for token in range(0, 10, 2):
+            request_id = b"q%d" % token
+            first = await harness.send(token, False, request_id=request_id)
+            assert first.outcome == OUTCOME.NOT_RUN
+            second = await harness.send(token + 1, False, request_id=request_id)
+            assert second.outcome == OUTCOME.ANSWERED
+
+    run(make_repeating_refuser(), body)
+
+
+def test_attempts_of_one_request_wait_for_a_connection_without_the_others():
+    # At the limit of one connection, the request that waits for another
+    # connection does not keep those behind it waiting.
+    async def body(harness):
+        harness.set_daemon_count(13)
+        first = await harness.send(0, request_id=b"q")
+        assert first.outcome == OUTCOME.NOT_RUN
+        results = await asyncio.gather(
+            harness.send(1, request_id=b"other"),
+            harness.send(2, request_id=b"q"),
+            harness.send(3, request_id=b"third"),
+        )
+        outcomes = [result.outcome for result in results]
+        assert outcomes == [
+            OUTCOME.NOT_RUN,
+            OUTCOME.ANSWERED,
+            OUTCOME.NOT_RUN,
+        ]
+
+    run(make_repeating_refuser(), body)
+
+
+def test_a_request_that_no_connection_may_carry_ends_as_unsent():
+    # Its only connection has carried it, and no new one can be opened.
+    async def body(harness):
+        first = await harness.send(0, request_id=b"q")
+        assert first.outcome == OUTCOME.NOT_RUN
+        harness.searcher.server.close()
+        second = await harness.send(1, request_id=b"q")
+        assert second.outcome == OUTCOME.UNSENT
+        assert harness.pool.open_count == 1
+
+    run(make_repeating_refuser(), body)
