Recognise a late copy without an id after a refusal

Cause: a copy without an id is told by the stamp of the answer before it. A refusal has no stamp, and the connection forgot the last one: a copy that came after the refusal was taken for the next answer.

Change: the last stamp stays until another answer has one.

Evidence: test_a_late_copy_without_an_id_is_told_by_its_stamp_after_a_refusal failed before: the second answer was the copy of the first.

--- a/citrondoor/links/_exchanges.py
+++ b/citrondoor/links/_exchanges.py
@@ -164,6 +164,6 @@
         Args:
           outbound: The request.
           response: The next response on its connection.
-          last_stamp: Stamp of the previous response on the connection, which
-            the searcher may repeat; empty if there is none.
+          last_stamp: Stamp of the last response on the connection that had one,
+            which the searcher may repeat; empty if there is none.
         """
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -313,7 +313,8 @@
             result = self._link.decode(exchange, response, self._last_stamp)
             if result.outcome != _exchanges.ExchangeOutcome.FOREIGN:
                 break
-        self._last_stamp = result.stamp
+        # A refusal has no stamp; the answer before it may still be repeated.
+        self._last_stamp = result.stamp or self._last_stamp
         self.exchange = None
         self.replace_on_close = True
         exchange.deliver(exchange.token, result)
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -719,3 +719,32 @@
         assert harness.pool.open_count == 1
 
     run(make_repeating_refuser(), body)
+
+
+def test_a_late_copy_without_an_id_is_told_by_its_stamp_after_a_refusal():
+    # MIXED: the refusal between the answer and its copy has no stamp.
+    copies = []
+
+    async def behave(request, writer):
+        if request.target == b"/refused":
+            writer.write(
+                b"HTTP/1.1 503 Full\r\nx-not-run: 1\r\n"
+                b"content-length: 0\r\n\r\n"
+            )
+            return
+        answer = (
+            b"HTTP/1.1 200 OK\r\nx-server-stamp: s%d\r\n"
+            b"content-length: 1\r\n\r\n%d" % (len(copies), len(copies))
+        )
+        copies.append(answer)
+        writer.write(copies[0] if len(copies) > 1 else b"")
+        writer.write(answer)
+
+    async def body(harness):
+        first = await harness.send(0)
+        refused = await harness.send(1, target=b"/refused")
+        second = await harness.send(2)
+        assert refused.outcome == OUTCOME.NOT_RUN
+        assert (first.response.body, second.response.body) == (b"0", b"1")
+
+    run(behave, body)
