Never read the bytes of two responses as one

Cause, reproduced with real daemons and searchers that stutter: a response, or a late copy of one, breaks off and another one follows on the connection. The parser took the status line of the first with the headers and the body of the second, or filled up the body of the first with the second. A connection on which part of a head had arrived counted as idle.

Change: such a connection is not used again; a response that begins within a head is malformed; a body that holds the start of a response counts only if nothing malformed follows it, and not without a length.

That the users' searchers did this is inferred: the pattern is theirs, the record is cut short.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -6,6 +6,7 @@
 """
 
 import http
+import re
 
 import httptools
 
@@ -35,6 +36,19 @@
 # 5 bytes around it, and some senders pad the chunk's length with zeros.
 _FRAMING_PER_BODY_BYTE = 8
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# A status line. In a reason phrase or in the value of a header, it begins
+# another response.
+_STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}[ \r]")
+_HEAD_END = b"\r\n\r\n"
+# Looked for before the patterns, which takes less time.
+_PROTOCOL = b"HTTP/1."
+# Longer than a status line up to the status.
+_STATUS_LINE_BYTES = 16
+# A status line and the name of a header, as at the start of a response. The
+# text may end before the name.
+_RESPONSE_START = re.compile(
+    _STATUS_LINE.pattern + rb"[^\r\n]*(\Z|\r\Z|\r\n[!-9;-~]*(\Z|:))"
+)
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -121,6 +135,18 @@
         self.headers = headers
         self.body = body
 
+    @property
+    def may_be_spliced(self) -> bool:
+        """Whether the body holds the start of another response.
+
+        If the peer broke off this response and sent another one, the rest of
+        that one follows the body, and is no response.
+        """
+        return (
+            _PROTOCOL in self.body
+            and _RESPONSE_START.search(self.body) is not None
+        )
+
     def header_value(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, or None.
 
@@ -311,6 +337,10 @@
 class ResponseReader:
     """Parses the responses in the byte stream of a searcher's connection.
 
+    A searcher may break off a response and send another one on the same
+    connection. Bytes of two responses never make up one, except that a body
+    with a length may be filled up, see `Response.may_be_spliced`.
+
     Args:
       max_body_bytes: Maximum size of a body.
     """
@@ -320,10 +350,14 @@
         "_body_bytes",
         "_error",
         "_headers",
+        "_is_head_new",
+        "_is_in_response",
         "_is_self_delimited",
         "_max_body_bytes",
         "_meter",
+        "_new_body_bytes",
         "_parser",
+        "_reason",
         "_responses",
         "_status",
     )
@@ -335,15 +369,21 @@
         self._responses: list[Response] = []
         self._error: ProtocolError | None = None
         self._status = 0
+        self._reason = b""
         self._headers: Headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._is_in_response = False
         self._is_self_delimited = True
+        # Of the last response: whether its head ended, and how many bytes of
+        # its body came, with the newest bytes.
+        self._is_head_new = False
+        self._new_body_bytes = 0
 
     @property
     def is_between_responses(self) -> bool:
-        """Whether no response is partly received; ignores a partial head."""
-        return not self._status
+        """Whether no byte of a further response has been received."""
+        return not self._is_in_response
 
     @property
     def held_bytes(self) -> int:
@@ -358,11 +398,14 @@
             `take_responses` returns those that were complete before.
         """
         self._meter.record_received(len(data))
+        self._is_head_new = False
+        self._new_body_bytes = 0
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             raise ProtocolError(502, "an upgrade of the protocol") from None
         except httptools.HttpParserError as error:
+            self._drop_spliced(data)
             raise self._error or ProtocolError(502, str(error)) from error
         if self._meter.is_over_limit:
             raise ProtocolError(
@@ -387,15 +430,27 @@
             return None
         response = Response(self._status, self._headers, b"".join(self._body))
         self._status = 0
-        return response
+        return None if response.may_be_spliced else response
+
+    def on_message_begin(self) -> None:
+        """Begins a response; called by the parser."""
+        self._is_in_response = True
+        self._reason = b""
+
+    def on_status(self, reason: bytes) -> None:
+        """Checks a part of the reason phrase; called by the parser."""
+        self._reason += reason
+        self._check_is_no_start(self._reason)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; called by the parser."""
+        self._check_is_no_start(value)
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
         """Reads the status and how the body ends; called by the parser."""
         self._status = self._parser.get_status_code()
+        self._is_head_new = True
         names = set()
         for name, value in self._headers:
             names.add(name)
@@ -413,6 +468,7 @@
         """Adds a part of the body; called by the parser."""
         self._meter.record_body(len(data))
         self._body_bytes += len(data)
+        self._new_body_bytes += len(data)
         if self._body_bytes > self._max_body_bytes:
             self._reject_body()
         self._body.append(data)
@@ -423,11 +479,38 @@
         if self._status >= http.HTTPStatus.OK:
             self._responses.append(response)
             self._meter.reset()
+        self._is_in_response = False
         self._status = 0
         self._headers = []
         self._body = []
         self._body_bytes = 0
 
+    def _check_is_no_start(self, text: bytes) -> None:
+        if _PROTOCOL in text and _STATUS_LINE.search(text) is not None:
+            self._error = ProtocolError(
+                502, "a response begins within the head of another one"
+            )
+            raise self._error
+
+    def _drop_spliced(self, data: bytes) -> None:
+        """Drops the last response if what follows shows that it is two.
+
+        Args:
+          data: Received bytes, which end the response; what follows it there is
+            malformed.
+        """
+        if not self._responses:
+            return
+        body = self._responses[-1].body
+        if not self._is_head_new:
+            # The head came before, so `data` begins with the rest of the body.
+            following = data[self._new_body_bytes :]
+        else:
+            _, _, following = data.partition(_HEAD_END + body)
+        seam = body[-_STATUS_LINE_BYTES:] + following[:_STATUS_LINE_BYTES]
+        if self._responses[-1].may_be_spliced or _STATUS_LINE.search(seam):
+            self._responses.pop()
+
     def _reject_body(self) -> None:
         self._error = ProtocolError(
             502, f"a body over {self._max_body_bytes} bytes"
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -30,6 +30,10 @@
 NON_IDEMPOTENT_MAX_IDLE_MS = 1000
 # Keep-alive timeout of a searcher whose responses state none.
 DEFAULT_KEEP_ALIVE_MS = 5000
+# A response that may be spliced from two counts if no rest of the second one
+# follows within this time. Searchers write a response at once, so that its
+# parts arrive together.
+SPLICE_WAIT_S = 0.05
 # A connection whose sent bytes are not acknowledged for this long is closed.
 TCP_USER_TIMEOUT_MS = 3000
 
@@ -167,6 +171,9 @@
     async def next_response(self) -> http1.Response:
         """Returns the next response.
 
+        One whose body holds the start of another response counts only if
+        nothing follows that shows that it was put together out of two.
+
         Raises:
           OSError: The connection was reset.
           EOFError: The connection was closed.
@@ -176,7 +183,12 @@
             if self._error is not None:
                 raise self._error
             await self.wait()
-        return self._responses.popleft()
+        response = self._responses.popleft()
+        if response.may_be_spliced:
+            await asyncio.sleep(SPLICE_WAIT_S)
+            if isinstance(self._error, http1.ProtocolError):
+                raise self._error
+        return response
 
     async def wait(self) -> None:
         """Waits until bytes arrive, the connection ends or `wake` is called."""
--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -1,3 +1,5 @@
+import contextlib
+
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -227,3 +229,85 @@
         assert error.status in (400, 413, 431)
     else:
         assert len(requests) <= 3 + len(inserted) // 2
+
+
+STATUS_LINE_BYTES = len(b"HTTP/1.1 500 ")
+
+
+def encode_stamped(status, request_id, body):
+    headers = [
+        (b"Date", b"Sat, 05 Dec 2026 11:00:00 GMT"),
+        (b"X-Request-Id", request_id),
+        (b"X-Server-Stamp", b"stamp-" + request_id),
+        (b"Keep-Alive", b"timeout=5"),
+    ]
+    return http1.encode_response(http1.Response(status, headers, body), True)
+
+
+@hypothesis.given(
+    strategies.binary(min_size=1, max_size=300),
+    BODIES,
+    strategies.data(),
+    strategies.integers(1, 600),
+)
+def test_no_response_is_put_together_out_of_two(
+    first_body, second_body, data, chunk_bytes
+):
+    # MIXED: a response that broke off was completed by the one after it.
+    first = encode_stamped(200, b"aa", first_body)
+    second = encode_stamped(500, b"bb", second_body)
+    cut = data.draw(strategies.integers(1, len(first) - 1))
+    received = first[:cut] + second
+    reader = http1.ResponseReader()
+    responses = []
+    try:
+        for start in range(0, len(received), chunk_bytes):
+            responses += reader.feed(received[start : start + chunk_bytes])
+    except http1.ProtocolError:
+        responses += reader.take_responses()
+    if chunk_bytes >= len(received):
+        assert responses == []
+    elif cut <= len(first) - STATUS_LINE_BYTES:
+        # What was filled up is marked until the rest shows that it is two.
+        assert all(response.may_be_spliced for response in responses)
+
+
+def test_no_response_is_put_together_wherever_it_breaks_off():
+    first = encode_stamped(200, b"aa", b"0123456789" * 30)
+    second = encode_stamped(500, b"bb", b"no")
+    for cut in range(1, len(first)):
+        reader = http1.ResponseReader()
+        responses = []
+        # A body that the second response does not fill up stays incomplete.
+        with contextlib.suppress(http1.ProtocolError):
+            responses = reader.feed(first[:cut] + second)
+        assert reader.take_responses() == []
+        # One that it fills up to the byte cannot be told, and is marked.
+        is_exact = len(first) - cut == len(second)
+        assert [r.may_be_spliced for r in responses] == [True] * is_exact
+
+
+@pytest.mark.parametrize("cut", range(1, 40))
+def test_the_begin_of_a_response_is_not_the_end_of_the_one_before(cut):
+    reader = http1.ResponseReader()
+    whole = encode_stamped(200, b"aa", b"x")
+    assert len(reader.feed(whole)) == 1
+    assert reader.is_between_responses
+    reader.feed(whole[:cut])
+    assert not reader.is_between_responses
+
+
+def test_a_body_without_a_length_that_holds_another_response_is_dropped():
+    reader = http1.ResponseReader()
+    second = encode_stamped(500, b"bb", b"no")
+    assert reader.feed(b"HTTP/1.1 200 OK\r\n\r\nrecords" + second) == []
+    assert reader.finish() is None
+
+
+def test_a_whole_body_that_quotes_a_response_is_only_marked():
+    reader = http1.ResponseReader()
+    quoted = encode_stamped(500, b"bb", b"no")
+    data = http1.encode_response(http1.Response(200, [], quoted), True)
+    (response,) = reader.feed(data)
+    assert response.body == quoted
+    assert response.may_be_spliced
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 import time
 import tracemalloc
 
@@ -748,3 +749,82 @@
         assert (first.response.body, second.response.body) == (b"0", b"1")
 
     run(behave, body)
+
+
+def make_stutterer(cut_answer):
+    """Returns a searcher's behaviour: it fails every other request.
+
+    After each success it sends `cut_answer` of a second copy, at the time that
+    it returns beside it: "idle" or "expected", where the next answer is due.
+    """
+    copies = {}
+    count = itertools.count()
+
+    async def behave(request, writer):
+        writer.write(copies.pop(writer, b""))
+        if next(count) % 2:
+            failure = encode_answer(request, b"failure")
+            writer.write(failure.replace(b"200 OK", b"500 Error"))
+            return
+        answer = encode_answer(request, b"records")
+        part, moment = cut_answer(answer)
+        writer.write(answer)
+        if moment == "expected":
+            copies[writer] = part
+        else:
+            await asyncio.sleep(0.005)
+            writer.write(part)
+
+    return behave
+
+
+@pytest.mark.parametrize("moment", ["idle", "expected"])
+@pytest.mark.parametrize("cut", [1, 9, 13, 15, 17, 30, 45, 70, 85, 90])
+def test_a_broken_off_copy_does_not_become_a_success_with_the_next_answer(
+    cut, moment
+):
+    # MIXED: the status line of the copy was read with the headers and the body
+    # of the failure after it, and the caller got the failure as a success.
+    async def body(harness):
+        for token in range(0, 20, 2):
+            success = await harness.send(token)
+            assert success.outcome == OUTCOME.ANSWERED
+            assert success.response.body == b"records"
+            await asyncio.sleep(0.01)
+            failure = await harness.send(token + 1)
+            if moment == "idle":
+                # The connection has been closed, and the failure is whole.
+                assert failure.outcome == OUTCOME.FAILED
+                assert failure.response.status == 500
+            else:
+                assert failure.outcome in (OUTCOME.FAILED, OUTCOME.BROKEN)
+
+    run(make_stutterer(lambda answer: (answer[:cut], moment)), body)
+
+
+@pytest.mark.parametrize("gap_s", [0.0, 0.01])
+def test_a_body_that_another_answer_fills_up_is_not_an_answer(gap_s):
+    # The rest of the other answer may arrive a little later.
+    async def behave(request, writer):
+        answer = encode_answer(request, b"r" * 150)
+        writer.write(answer[:-100] + answer[:100])
+        await asyncio.sleep(gap_s)
+        writer.write(answer[100:])
+
+    async def body(harness):
+        return await harness.send(0)
+
+    assert run(behave, body).outcome == OUTCOME.BROKEN
+
+
+def test_a_whole_answer_that_quotes_another_one_counts():
+    async def behave(request, writer):
+        writer.write(encode_answer(request, encode_answer(request)))
+
+    async def body(harness):
+        first = await harness.send(0)
+        second = await harness.send(1)
+        assert first.outcome == second.outcome == OUTCOME.ANSWERED
+        return harness.searcher.connections
+
+    assert run(behave, body) == 1
