Refuse a request that only waited for a connection as not run

Found as a hypothesis for the users' LOST: at the end of its time, or of the daemon, a request whose send was still queued got 502, which is not repeated unless it may run twice, though nothing had been sent.

Cause: the status was taken while the queued send counted as pending. It was cancelled, and known to be unsent, only after that.

Change: sends are cancelled first; those that were queued end at once and no longer count. With no other send the answer is 503, which is true.

Evidence: test_a_request_that_waited_for_a_connection_to_the_end_has_not_run failed before with upstream_failed.

--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -389,6 +389,10 @@
             )
         if status is None:
             return None
+        if status == fanout.FanoutStatus.FAILED:
+            # Sends that had waited for a connection ended as they were
+            # cancelled; without others, the request has not run.
+            status = running.fanout.status(self._clock.now())
         answer = _answers.compose_answer(route.target, running, status)
         self._record_outcome(request, running, status)
         return answer
@@ -632,14 +636,16 @@
         self._pool.release(token)
         send, running = self._pending_sends.pop(token)
         self._record_reply(send, running, reply, now)
+        outcome = _OUTCOMES[reply.outcome]
+        state = running.fanout
         if running.is_finished:
+            if outcome == fanout.Outcome.NOT_RUN:
+                state.record_not_run(token)
             return
         if reply.outcome == links.ExchangeOutcome.ANSWERED:
             running.replies.setdefault(send.group, reply)
         elif reply.outcome == links.ExchangeOutcome.FAILED:
             running.last_failure = reply
-        outcome = _OUTCOMES[reply.outcome]
-        state = running.fanout
         self._submit(running, state.on_send_done(token, outcome, now))
         is_decided = state.status(now) != fanout.FanoutStatus.PENDING
         if is_decided or state.next_timer_at() < running.next_wakeup_at:
--- a/citrondoor/fanout/_fanout.py
+++ b/citrondoor/fanout/_fanout.py
@@ -306,6 +306,16 @@
             self._retry(group, send, outcome, now, sends)
         return sends
 
+    def record_not_run(self, token: int) -> None:
+        """Records that a send was cancelled before it could run.
+
+        For a request that is over, so that no further send follows.
+        """
+        group = self._groups_by_token.pop(token, None)
+        if group is not None:
+            send = group.pending.pop(token)
+            self._uncount_send(group, send.replica.upstream.id)
+
     def on_timer(self, now: int) -> list[Send]:
         """Returns the retries and hedges that are due."""
         sends: list[Send] = []
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -745,3 +745,32 @@
         harness.serve(make_request("/a/x"))
     answer = harness.serve_in_shutdown(lambda: make_request("/a/x"), 0, 300)
     assert isinstance(answer, entry.ForwardedAnswer)
+
+
+class QueueingPool(FakePool):
+    """Sends nothing: each exchange waits for a connection until cancelled."""
+
+    def __init__(self):
+        super().__init__(None)
+        self.waiting = {}
+
+    def submit(self, upstream, exchange):
+        self.waiting[exchange.token] = exchange
+
+    def cancel(self, token):
+        exchange = self.waiting.pop(token)
+        exchange.deliver(token, links.ExchangeResult(OUTCOME.UNSENT))
+
+
+def test_a_request_that_waited_for_a_connection_to_the_end_has_not_run():
+    # It was answered like one that may have run, which is not repeated.
+    for path in ("/n/x", "/a/x", "/g/x"):
+        harness = make_shutdown_harness(None)
+        harness.pool = QueueingPool()
+        harness.dispatcher.set_pool(harness.pool)
+        answer = harness.serve_in_shutdown(
+            lambda path=path: make_request(path), 0.02, 60
+        )
+        assert answer.kind == messages.RefusalKind.UNAVAILABLE
+        assert answer.ran == messages.Ran.NO
+        assert not harness.pool.waiting
