Soak: stuttering searchers, zones, long requests beside SIGTERM

The soak of the platform's daemon had all daemons and searchers in one zone, so that nothing went through peers, searchers that sent each answer once, requests that ended long before the grace, and no check of requests without an answer.

Now three zones; responses that are repeated, late or where the next one is due, whole or broken off; services that work up to the deadline; deadlines longer than the grace; daemons back 0.1 to 0.5 s after a kill; and a check that what a searcher ran is answered unless its daemon was killed or paused.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -138,15 +138,18 @@
       seeds: Peer addresses of all daemons.
       ports: Ports for callers, readiness, directory, peers and metrics.
       grace_s: Setting `bounds.grace_s`, in seconds.
+      zone: Its availability zone.
     """
 
-    def __init__(self, name, folder, store_port, seeds, ports, grace_s):
+    def __init__(
+        self, name, folder, store_port, seeds, ports, grace_s, zone="a"
+    ):
         self.name = name
         self.front, self.readiness, self.directory = ports[:3]
         self.peers, self.metrics = ports[3:5]
         settings = {
             "vm": name,
-            "zone": "a",
+            "zone": zone,
             "region": "r",
             "front": f"{HOST}:{self.front}",
             "readiness": f"{HOST}:{self.readiness}",
@@ -156,7 +159,7 @@
             "seeds": seeds,
             "store": {"address": f"{HOST}:{store_port}", "poll_ms": 200},
             "bounds": {"grace_s": grace_s, "extra_slack": 100},
-            "zones": [{"zone": "a", "region": "r"}],
+            "zones": [{"zone": z, "region": "r"} for z in "abc"],
         }
         self.settings_path = folder / f"{name}.yaml"
         self.settings_path.write_text(yaml.safe_dump(settings))
@@ -215,9 +218,18 @@
       shards: Number of shards of the scatter route.
       replicas: Number of searchers of each shard and of the back end `one`.
       grace_s: Setting `bounds.grace_s` of the daemons, in seconds.
+      zones: Availability zones of the daemons, in turn.
     """
 
-    def __init__(self, folder, daemons=2, shards=3, replicas=2, grace_s=1.0):
+    def __init__(
+        self,
+        folder,
+        daemons=2,
+        shards=3,
+        replicas=2,
+        grace_s=1.0,
+        zones=("a",),
+    ):
         self.folder = folder
         self.store = Store()
         self.searchers = [
@@ -229,6 +241,7 @@
         self.shards = [f"s{n}" for n in range(shards)]
         self.daemons: list[Daemon] = []
         self.daemon_options = (daemons, grace_s)
+        self.zones = zones
         self.request_count = 0
 
     def config(self, version, **changes):
@@ -293,6 +306,7 @@
                 seeds,
                 ports[5 * number : 5 * number + 5],
                 grace_s,
+                self.zones[number % len(self.zones)],
             )
             self.daemons.append(daemon)
             await daemon.start()
--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -9,6 +9,8 @@
   are the highest of the shards that answered.
 - A non-idempotent request runs at most once. No request runs after a response
   whose status says that it has not run.
+- A request that reached a searcher is answered, unless its daemon was killed or
+  paused; a daemon that shuts down as planned answers all that it has accepted.
 - After the faults, every daemon answers from all shards again, and a draining
   searcher gets no new requests.
 """
@@ -37,7 +39,10 @@
 MIN_SHARD_SHARE = 0.5
 # Statuses which say that a request has not run and will not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-DEADLINE_MS = 900
+# Callers wait for one of these times; the second is longer than `GRACE_S`.
+DEADLINES_MS = (900, 2500)
+ROUTE_TIMEOUT_MS = 2500
+ZONES = ("a", "b", "c")
 ANSWER_TIMEOUT_S = 3.0
 GRACE_S = 2.0
 # Maximum time from the last fault until a daemon answers from all shards:
@@ -51,6 +56,8 @@
 LIMIT_PER_S = 8
 CONTACT_S = 1.0
 LIMIT_WINDOW_S = 3.0
+# Usual time of a searcher's work.
+WORK_S = 0.005
 
 
 class Searcher(deployments.Searcher):
@@ -68,6 +75,8 @@
         super().__init__(name, service)
         self.soak = soak
         self.proxy = None
+        # The searchers of a service are in different zones.
+        self.zone = ZONES[len(soak.searchers) % len(ZONES)]
         self.last_at = 0.0
         self.pause_s = 0.0
         self.requested_at = []
@@ -109,7 +118,8 @@
     def registration(self, state="ready"):
         registration = super().registration(state)
         return registration | {
-            "address": f"{deployments.HOST}:{self.proxy.port}"
+            "address": f"{deployments.HOST}:{self.proxy.port}",
+            "zone": self.zone,
         }
 
 
@@ -124,6 +134,8 @@
             "top-k": TOP_RECORDS,
             "min-part-share": MIN_SHARD_SHARE,
         }
+        for route in config["routes"]:
+            route["timeout-ms"] = ROUTE_TIMEOUT_MS
         services = {s for shards in SHARD_SETS for s in shards} | {"one"}
         config["services"] = [
             {"name": name, "max-connections": 31} for name in sorted(services)
@@ -147,6 +159,8 @@
       once: Ids of the non-idempotent requests.
       problems: Descriptions of the violations found.
       busy_daemons: Daemons that are paused, killed or restarted at present.
+      disturbed_at: Monotonic time at which each daemon was last paused or
+        killed, in seconds, by name.
     """
 
     def __init__(self, seed, seconds, folder):
@@ -154,7 +168,7 @@
         self.seconds = seconds
         self.rng = random.Random(seed)
         self.deployment = Deployment(
-            folder, daemons=DAEMON_COUNT, grace_s=GRACE_S
+            folder, daemons=DAEMON_COUNT, grace_s=GRACE_S, zones=ZONES
         )
         self.searchers = {}
         self.failure_rates = {}
@@ -167,6 +181,7 @@
         self.faults = collections.Counter()
         self.problems = []
         self.busy_daemons = set()
+        self.disturbed_at = {}
         self.numbers = iter(range(1, 1 << 40))
 
     # Called by searchers.
@@ -240,12 +255,14 @@
                 continue
             try:
                 parser = http1.ResponseReader()
-                while await self.send_request(reader, writer, parser, rng):
+                while await self.send_request(
+                    daemon, reader, writer, parser, rng
+                ):
                     await asyncio.sleep(rng.expovariate(15))
             finally:
                 writer.transport.abort()
 
-    async def send_request(self, reader, writer, parser, rng):
+    async def send_request(self, daemon, reader, writer, parser, rng):
         """Sends one request; returns whether the connection can be reused."""
         is_once = rng.random() < 0.3
         # `Deployment.send_request` uses the ids q1, q2, ...
@@ -255,8 +272,9 @@
         headers = [
             (b"host", b"shop.example"),
             (b"x-request-id", request_id),
-            (b"x-request-deadline", b"%d" % DEADLINE_MS),
+            (b"x-request-deadline", b"%d" % rng.choice(DEADLINES_MS)),
         ]
+        sent_at = time.monotonic()
         method, target = (
             (b"POST", b"/once/x") if is_once else (b"GET", b"/all/x")
         )
@@ -267,6 +285,7 @@
                     pass
         except (OSError, EOFError, TimeoutError, http1.ProtocolError) as error:
             self.outcomes[type(error).__name__] += 1
+            self.check_unanswered(daemon, request_id, sent_at, error)
             return False
         if len(responses) != 1:
             self.problems.append(f"{request_id} got {len(responses)} responses")
@@ -274,6 +293,15 @@
         closes = responses[0].header_value(b"connection") == b"close"
         return not closes
 
+    def check_unanswered(self, daemon, request_id, sent_at, error):
+        """Checks that a request without an answer had not been accepted."""
+        disturbed_at = self.disturbed_at.get(daemon.name, 0.0)
+        if self.run_counts[request_id] and disturbed_at < sent_at:
+            self.problems.append(
+                f"{request_id} of {daemon.name} ran and got no answer:"
+                f" {error!r} after {time.monotonic() - sent_at:.2f} s"
+            )
+
     async def read(self, reader):
         data = await reader.read(65536)
         if not data:
@@ -343,6 +371,8 @@
             self.break_searcher,
             self.fail_requests,
             self.slow_searcher,
+            self.block_service,
+            self.stutter_searcher,
             self.replace_searcher,
             self.limit_searcher,
             self.pause_searcher,
@@ -383,6 +413,22 @@
         await self.sleep_random()
         proxy.set_mode("pass")
 
+    async def block_service(self):
+        """Makes all searchers of a service work until the deadline."""
+        service = self.choose_searcher().service
+        searchers = [s for s in self.searchers.values() if s.service == service]
+        for searcher in searchers:
+            searcher.work_s = ANSWER_TIMEOUT_S
+        await self.sleep_random()
+        for searcher in searchers:
+            searcher.work_s = WORK_S
+
+    async def stutter_searcher(self):
+        proxy = self.choose_searcher().proxy
+        proxy.stutter_share = self.rng.choice([0.05, 0.3])
+        await self.sleep_random()
+        proxy.stutter_share = 0.0
+
     async def fail_requests(self):
         searcher_id = self.choose_searcher().id
         self.failure_rates[searcher_id] = self.rng.uniform(0.1, 1.0)
@@ -436,6 +482,7 @@
         daemon.process.send_signal(signal.SIGSTOP)
         await self.sleep_random()
         daemon.process.send_signal(signal.SIGCONT)
+        self.disturbed_at[daemon.name] = time.monotonic()
         self.busy_daemons.discard(daemon)
 
     async def kill_daemon(self):
@@ -443,8 +490,10 @@
         if daemon is None:
             return
         daemon.process.kill()
+        self.disturbed_at[daemon.name] = time.monotonic()
         await daemon.process.wait()
-        await self.sleep_random(1.0)
+        # Peers may still serve what it had asked for.
+        await self.sleep_random(0.5)
         await daemon.start()
         self.busy_daemons.discard(daemon)
 
@@ -456,7 +505,9 @@
         async with asyncio.timeout(GRACE_S + ANSWER_TIMEOUT_S):
             status = await daemon.process.wait()
         # Before the daemon has installed its handler, SIGTERM kills it.
-        if status not in (0, -signal.SIGTERM):
+        if status == -signal.SIGTERM:
+            self.disturbed_at[daemon.name] = time.monotonic()
+        elif status != 0:
             self.problems.append(f"{daemon.name} exited with status {status}")
         await daemon.start()
         self.busy_daemons.discard(daemon)
@@ -479,6 +530,8 @@
         self.deployment.store.status = 200
         for searcher in self.searchers.values():
             searcher.proxy.set_mode("pass")
+            searcher.proxy.stutter_share = 0.0
+            searcher.work_s = WORK_S
             searcher.said = []
             searcher.pause_s = 0.0
         for daemon in self.deployment.daemons:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,4 +1,8 @@
-"""A loopback proxy that delays, holds back, resets or refuses connections."""
+"""A loopback proxy that delays, holds back, resets or refuses connections.
+
+It can also make a searcher stutter: send some responses a second time, and
+break off responses and go on with another one on the same connection.
+"""
 
 import asyncio
 import contextlib
@@ -7,6 +11,41 @@
 from tests.platform import deployment as deployments
 
 BUFFER_BYTES = 65536
+# Largest delay of a second copy of a response, in seconds.
+MAX_COPY_DELAY_S = 0.03
+
+
+class Stutter:
+    """Spoils some of the responses that pass through one connection.
+
+    Each piece of data is taken for a whole response, as searchers write them.
+
+    Args:
+      share: Share of the responses that are spoiled.
+      rng: Random number generator.
+    """
+
+    def __init__(self, share, rng):
+        self.share = share
+        self.rng = rng
+        # What is sent before the next response.
+        self.kept = b""
+
+    def spoil(self, response):
+        """Returns what is sent now, and what is sent a little later."""
+        now, self.kept = self.kept + response, b""
+        if self.rng.random() >= self.share:
+            return now, b""
+        broken_off = response[: self.rng.randrange(1, len(response))]
+        copy = self.rng.choice([response, broken_off])
+        moment = self.rng.choice(["late", "expected", "first"])
+        if moment == "late":
+            return now, copy
+        if moment == "expected":
+            self.kept = copy
+            return now, b""
+        # The response breaks off, and comes again as a whole.
+        return now[: -len(response)] + broken_off + response, b""
 
 
 class Proxy:
@@ -20,6 +59,8 @@
         self.target_port = port
         self.mode = "pass"
         self.delay_s = 0.0
+        self.stutter_share = 0.0
+        self.stutter_rng = random.Random(port)
         self.server = None
         self.writers = set()
 
@@ -82,11 +123,21 @@
             writer.transport.abort()
 
     async def copy(self, reader, writer, hold_mode):
+        stutter = Stutter(0.0, self.stutter_rng)
+        is_response = hold_mode == "mute"
         with contextlib.suppress(OSError):
             while data := await reader.read(BUFFER_BYTES):
                 if self.delay_s:
                     await asyncio.sleep(self.delay_s * random.random())
                 while self.mode == hold_mode:
                     await asyncio.sleep(0.02)
+                late = b""
+                if is_response:
+                    stutter.share = self.stutter_share
+                    data, late = stutter.spoil(data)
                 writer.write(data)
                 await writer.drain()
+                if late:
+                    delay_s = MAX_COPY_DELAY_S * self.stutter_rng.random()
+                    await asyncio.sleep(delay_s)
+                    writer.write(late)
--- a/tests/soak/test_entry.py
+++ b/tests/soak/test_entry.py
@@ -1,7 +1,10 @@
+import random
+
 import pytest
 
 from citrondoor.codecs import http1
 from tests.soak import entry
+from tests.soak import proxy
 
 SHARDS = entry.SHARD_SETS[0]
 
@@ -103,6 +106,35 @@
     assert soak.problems
 
 
+class FakeDaemon:
+    name = "vm-0"
+
+
+def test_request_that_ran_and_got_no_answer_is_reported(tmp_path):
+    soak = entry.Soak(1, 0, tmp_path)
+    error = EOFError("closed")
+    soak.check_unanswered(FakeDaemon, b"c1", 10.0, error)
+    soak.record_run(entry.Searcher("one-1", "one", soak), b"c1")
+    soak.disturbed_at["vm-0"] = 10.5
+    soak.check_unanswered(FakeDaemon, b"c1", 10.0, error)
+    assert soak.problems == []
+    soak.check_unanswered(FakeDaemon, b"c1", 11.0, error)
+    assert len(soak.problems) == 1
+
+
+def test_stuttering_searcher_sends_copies_and_broken_off_responses():
+    stutter = proxy.Stutter(0.5, random.Random(1))
+    response = b"0123456789"
+    sent = [stutter.spoil(response) for _ in range(200)]
+    now, late = (b"".join(parts) for parts in zip(*sent, strict=True))
+    assert 0.4 < sum(part != (response, b"") for part in sent) / 200 < 0.8
+    assert late.count(response) > 5
+    assert len(late) % 10
+    assert len(now) > 200 * 10
+    stutter.share, stutter.kept = 0.0, b""
+    assert stutter.spoil(response) == (response, b"")
+
+
 def test_short_soak_finds_no_problems(tmp_path):
     soak = entry.run(1, 4.0, tmp_path)
     assert soak.problems == [], soak.report()
