Let a request sent again wait no longer than for one exchange

A flaw of: where all connections had carried a request and others were always queued behind it, each connection that became idle took one of those, and the request waited until its deadline.

Change: if no connection may carry the first queued exchange, a new one is opened, or the one that became idle is closed to make room.

Evidence: test_a_request_sent_again_is_not_overtaken_by_all_that_follow failed before: 57 others were served before it.

--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -244,11 +244,6 @@
         """Whether it is open and can serve another exchange."""
         return self._channel.transport is not None and self._channel.is_usable
 
-    @property
-    def is_opening(self) -> bool:
-        """Whether it is being opened."""
-        return self._channel.transport is None
-
     def may_carry(self, outbound: _exchanges.OutboundRequest) -> bool:
         """Returns whether it has not carried an earlier attempt of a request.
 
@@ -565,18 +560,20 @@
     def on_idle(self, connection: _Connection) -> None:
         """Gives a connection a queued exchange or adds it to the idle ones.
 
-        It is closed if what is queued must not be sent on it and no connection
-        is being opened.
+        If no connection may carry the first queued exchange, a new one is
+        opened, and at the limit this one is closed to make room for it.
         """
+        if self._queued and not self._may_carry(self._queued[0]):
+            if len(self._connections) >= self._max_connections:
+                connection.replace_on_close = True
+                connection.abort()
+                return
+            self.dial()
         for exchange in self._queued:
             if connection.may_carry(exchange.outbound):
                 self._queued.remove(exchange)
                 connection.assign(exchange)
                 return
-        if self._queued and not self._is_opening:
-            connection.replace_on_close = True
-            connection.abort()
-            return
         if len(self._connections) > self._max_connections:
             connection.abort()
             return
@@ -618,9 +615,12 @@
             # No connection is being opened or will become idle.
             self.end_queued()
 
-    @property
-    def _is_opening(self) -> bool:
-        return any(connection.is_opening for connection in self._connections)
+    def _may_carry(self, exchange: _exchanges.Exchange) -> bool:
+        """Whether a connection, open or being opened, may carry an exchange."""
+        return any(
+            connection.may_carry(exchange.outbound)
+            for connection in self._connections
+        )
 
     def _abort_cancelled(self, connection: _Connection, token: int) -> None:
         if connection.exchange and connection.exchange.token == token:
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -828,3 +828,23 @@
         return harness.searcher.connections
 
     assert run(behave, body) == 1
+
+
+def test_a_request_sent_again_is_not_overtaken_by_all_that_follow():
+    # Its only connection has carried it, and always has another request next.
+    async def body(harness):
+        harness.set_daemon_count(13)
+        first = await harness.send(0, request_id=b"q")
+        assert first.outcome == OUTCOME.NOT_RUN
+        results = [harness.send(1, request_id=b"other")]
+        again = harness.send(2, request_id=b"q")
+        for token in range(3, 60):
+            results.append(harness.send(token))
+            await results[-2]
+            if again.done():
+                break
+        assert (await again).outcome == OUTCOME.ANSWERED
+        await asyncio.gather(*results)
+        return token
+
+    assert run(make_repeating_refuser(), body) < 6
