Recognise late copies without an id after further answers

Cause: a copy without an id was told by the stamp of the answer before it only. One that came two answers late was taken for the pending answer.

Change: a connection remembers the stamps of its last 16 answers.

Evidence: test_a_copy_without_an_id_that_comes_two_answers_late_is_no_answer failed before: the third answer was a copy of the first.

--- a/citrondoor/links/_exchanges.py
+++ b/citrondoor/links/_exchanges.py
@@ -3,6 +3,7 @@
 import enum
 import typing
 from collections.abc import Callable
+from collections.abc import Collection
 
 from citrondoor.codecs import http1
 from citrondoor.schema import messages
@@ -157,13 +158,13 @@
         self,
         outbound: OutboundRequest,
         response: http1.Response,
-        last_stamp: bytes = b"",
+        recent_stamps: Collection[bytes] = (),
     ) -> ExchangeResult:
         """Returns the result of a request according to its response.
 
         Args:
           outbound: The request.
           response: The next response on its connection.
-          last_stamp: Stamp of the last response on the connection that had one,
-            which the searcher may repeat; empty if there is none.
+          recent_stamps: Stamps of earlier responses on the connection, which
+            the searcher may repeat.
         """
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 import socket
+from collections.abc import Collection
 
 from citrondoor import clock as clocks
 from citrondoor import limits
@@ -34,6 +35,9 @@
 # follows within this time. Searchers write a response at once, so that its
 # parts arrive together.
 SPLICE_WAIT_S = 0.05
+# Stamps that a connection remembers. A copy of an answer without an id that
+# comes later than as many further answers is not recognised.
+RECENT_STAMPS = 16
 # A connection whose sent bytes are not acknowledged for this long is closed.
 TCP_USER_TIMEOUT_MS = 3000
 
@@ -211,8 +215,8 @@
     __slots__ = (
         "_carried_ids",
         "_channel",
-        "_last_stamp",
         "_link",
+        "_recent_stamps",
         "_task",
         "exchange",
         "idle_limit_ms",
@@ -226,7 +230,9 @@
         self._link = link
         self._channel = _Channel(link.held_bytes_limiter)
         self._carried_ids = _carried_ids.CarriedIds()
-        self._last_stamp = b""
+        self._recent_stamps: collections.deque[bytes] = collections.deque(
+            maxlen=RECENT_STAMPS
+        )
         self._task: asyncio.Task | None = None
         self.exchange: _exchanges.Exchange | None = None
         self.was_sent = False
@@ -317,11 +323,11 @@
         self.was_sent = True
         while True:
             response = await self._channel.next_response()
-            result = self._link.decode(exchange, response, self._last_stamp)
+            result = self._link.decode(exchange, response, self._recent_stamps)
             if result.outcome != _exchanges.ExchangeOutcome.FOREIGN:
                 break
-        # A refusal has no stamp; the answer before it may still be repeated.
-        self._last_stamp = result.stamp or self._last_stamp
+        if result.stamp:
+            self._recent_stamps.append(result.stamp)
         self.exchange = None
         self.replace_on_close = True
         exchange.deliver(exchange.token, result)
@@ -517,7 +523,7 @@
         self,
         exchange: _exchanges.Exchange,
         response: http1.Response,
-        last_stamp: bytes,
+        recent_stamps: Collection[bytes],
     ) -> _exchanges.ExchangeResult:
         """Returns the result of an exchange according to a response.
 
@@ -526,9 +532,9 @@
         Args:
           exchange: The pending exchange.
           response: The next response on its connection.
-          last_stamp: Stamp of the previous response on the connection.
+          recent_stamps: Stamps of earlier responses on the connection.
         """
-        result = self._codec.decode(exchange.outbound, response, last_stamp)
+        result = self._codec.decode(exchange.outbound, response, recent_stamps)
         if result.outcome == _exchanges.ExchangeOutcome.FOREIGN:
             self._counters.unmatched += 1
         return result
--- a/citrondoor/platform/_searcher_codec.py
+++ b/citrondoor/platform/_searcher_codec.py
@@ -4,6 +4,7 @@
 import math
 import re
 from collections.abc import Callable
+from collections.abc import Collection
 
 from citrondoor import clock as clocks
 from citrondoor import links
@@ -62,14 +63,14 @@
         self,
         outbound: links.OutboundRequest,
         response: http1.Response,
-        last_stamp: bytes = b"",
+        recent_stamps: Collection[bytes] = (),
     ) -> links.ExchangeResult:
         """Returns the result of a request from its response.
 
         Args:
           outbound: The request.
           response: The next response on its connection.
-          last_stamp: Stamp of the previous response on the connection.
+          recent_stamps: Stamps of earlier responses on the connection.
         """
         # The first value of each header counts.
         headers = {}
@@ -80,8 +81,8 @@
         ):
             return links.ExchangeResult(links.ExchangeOutcome.FOREIGN)
         stamp = headers.get(_headers.STAMP, b"")
-        if _headers.REQUEST_ID not in headers and stamp == last_stamp != b"":
-            # A second copy of the previous response. Stamps are unique.
+        if _headers.REQUEST_ID not in headers and stamp in recent_stamps:
+            # A second copy of an earlier response. Stamps are unique.
             return links.ExchangeResult(links.ExchangeOutcome.FOREIGN)
         cold_ms = _parse_ms(headers.get(_headers.WARMUP_REMAINING))
         is_misdirected = response.status == http.HTTPStatus.MISDIRECTED_REQUEST
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -631,10 +631,10 @@
     class BrokenCodec(_searcher_codec.PlatformSearcherCodec):
         __slots__ = ()
 
-        def decode(self, outbound, response, last_stamp=b""):
+        def decode(self, outbound, response, recent_stamps=()):
             if outbound.request_id == b"r1":
                 raise KeyError("unexpected")
-            return super().decode(outbound, response, last_stamp)
+            return super().decode(outbound, response, recent_stamps)
 
     async def body(harness):
         harness.pool._codec = BrokenCodec(lambda name, value: None)
@@ -848,3 +848,26 @@
         return token
 
     assert run(make_repeating_refuser(), body) < 6
+
+
+def test_a_copy_without_an_id_that_comes_two_answers_late_is_no_answer():
+    # MIXED: only the stamp of the answer just before was known.
+    answers = []
+
+    async def behave(request, writer):
+        number = len(answers)
+        answers.append(
+            b"HTTP/1.1 200 OK\r\nx-server-stamp: s%d\r\n"
+            b"content-length: 1\r\n\r\n%d" % (number, number)
+        )
+        if number >= 2:
+            writer.write(answers[number - 2])
+        writer.write(answers[number])
+
+    async def body(harness):
+        results = [await harness.send(token) for token in range(8)]
+        assert [r.response.body for r in results] == [
+            b"%d" % n for n in range(8)
+        ]
+
+    run(behave, body)
