Soak: services that turn requests away, few connections; why nothing found them

With four connections for a searcher each of the three daemons has one, so that requests wait for a connection and are sent again on a new one.

--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -68,6 +68,7 @@
       proxy: Proxy in front of it; daemons get the proxy's address.
       last_at: Monotonic time of its latest request, in seconds.
       pause_s: Pause that it wants, in seconds; 0 if it serves requests.
+      shed_share: Share of the requests that it turns away as not run.
       requested_at: Monotonic times of all requests, in seconds.
     """
 
@@ -79,6 +80,7 @@
         self.zone = ZONES[len(soak.searchers) % len(ZONES)]
         self.last_at = 0.0
         self.pause_s = 0.0
+        self.shed_share = 0.0
         self.requested_at = []
 
     def refuse(self, error):
@@ -91,13 +93,12 @@
         request_id = request.header_values(b"x-request-id")[0]
         self.last_at = time.monotonic()
         self.requested_at.append(self.last_at)
+        not_run = [(b"x-request-id", request_id), (b"x-not-run", b"1")]
         if self.pause_s:
-            headers = [
-                (b"x-request-id", request_id),
-                (b"x-not-run", b"1"),
-                (b"retry-after", b"%.2f" % self.pause_s),
-            ]
-            return http1.Response(503, headers, b"")
+            retry_after = (b"retry-after", b"%.2f" % self.pause_s)
+            return http1.Response(503, [*not_run, retry_after], b"")
+        if self.soak.rng.random() < self.shed_share:
+            return http1.Response(503, not_run, b"")
         self.soak.record_run(self, request_id)
         await asyncio.wait((disconnected,), timeout=self.work_s)
         if self.soak.rng.random() < self.soak.failure_rates.get(self.id, 0):
@@ -124,7 +125,13 @@
 
 
 class Deployment(deployments.Deployment):
-    """A deployment whose route versions alternate between the shard sets."""
+    """A deployment whose route versions alternate between the shard sets.
+
+    Attributes:
+      max_connections: Connections that each searcher accepts.
+    """
+
+    max_connections = 31
 
     def config(self, version, **changes):
         config = super().config(version, **changes)
@@ -138,7 +145,8 @@
             route["timeout-ms"] = ROUTE_TIMEOUT_MS
         services = {s for shards in SHARD_SETS for s in shards} | {"one"}
         config["services"] = [
-            {"name": name, "max-connections": 31} for name in sorted(services)
+            {"name": name, "max-connections": self.max_connections}
+            for name in sorted(services)
         ]
         return config
 
@@ -170,6 +178,8 @@
         self.deployment = Deployment(
             folder, daemons=DAEMON_COUNT, grace_s=GRACE_S, zones=ZONES
         )
+        # With 4, each daemon has one connection to a searcher.
+        self.deployment.max_connections = self.rng.choice([4, 31])
         self.searchers = {}
         self.failure_rates = {}
         self.version = 1
@@ -376,6 +386,7 @@
             self.replace_searcher,
             self.limit_searcher,
             self.pause_searcher,
+            self.shed_service,
             self.pause_daemon,
             self.restart_daemon,
             self.kill_daemon,
@@ -423,6 +434,18 @@
         for searcher in searchers:
             searcher.work_s = WORK_S
 
+    async def shed_service(self):
+        """Makes all searchers of a service turn requests away and stutter."""
+        service = self.choose_searcher().service
+        searchers = [s for s in self.searchers.values() if s.service == service]
+        for searcher in searchers:
+            searcher.shed_share = 0.5
+            searcher.proxy.stutter_share = 0.3
+        await self.sleep_random()
+        for searcher in searchers:
+            searcher.shed_share = 0.0
+            searcher.proxy.stutter_share = 0.0
+
     async def stutter_searcher(self):
         proxy = self.choose_searcher().proxy
         proxy.stutter_share = self.rng.choice([0.05, 0.3])
@@ -531,6 +554,7 @@
         for searcher in self.searchers.values():
             searcher.proxy.set_mode("pass")
             searcher.proxy.stutter_share = 0.0
+            searcher.shed_share = 0.0
             searcher.work_s = WORK_S
             searcher.said = []
             searcher.pause_s = 0.0
