--- a/tests/soak/test_entry.py
+++ b/tests/soak/test_entry.py
@@ -120,6 +120,13 @@
     assert soak.problems == []
     soak.check_unanswered(FakeDaemon, b"c1", 11.0, error)
     assert len(soak.problems) == 1
+    # The machine stalled: an answer in time cannot be expected, but a closed
+    # connection is a fault all the same.
+    soak.stalled_at = 11.5
+    soak.check_unanswered(FakeDaemon, b"c1", 11.0, TimeoutError())
+    assert len(soak.problems) == 1
+    soak.check_unanswered(FakeDaemon, b"c1", 11.0, error)
+    assert len(soak.problems) == 2
 
 
 def test_stuttering_searcher_sends_copies_and_broken_off_responses():
