One account of the memory that messages keep; its fields in summary and metrics

The account is a decision without I/O; nothing gives way yet, since no sender records in it. memory_mb may be a fraction. max_fds and kept_mb are settings that nothing reads yet.

--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import importlib
+import resource
 
 from citrondoor import addresses
 from citrondoor import clock as clocks
 from citrondoor import entry
+from citrondoor import limits
 from citrondoor import links
 from citrondoor.codecs import http1
 from citrondoor.schema import serving
@@ -14,6 +16,7 @@
 # Delay before the metrics library is imported, so that callers are served
 # first: its import takes longer than all other imports together.
 IMPORT_DELAY_S = 1.0
+_BYTES_PER_KB = 1024
 
 
 class EntryMetrics:
@@ -24,11 +27,13 @@
       dispatcher: Has the counters of requests and of hedges and retries.
       pool: Has the counters of connections to searchers.
       relay: Has the counters of sends through peers.
+      account: Has what messages keep in memory.
       log: Has the counter of dropped lines.
       clock: Clock of the daemon.
     """
 
     __slots__ = (
+        "_account",
         "_clock",
         "_dispatcher",
         "_log",
@@ -45,6 +50,7 @@
         dispatcher: entry.Dispatcher,
         pool: links.HttpPool,
         relay: entry.Relay,
+        account: limits.MemoryAccount,
         log: entry.DecisionLog,
         clock: clocks.Clock,
     ):
@@ -53,6 +59,7 @@
         self._dispatcher = dispatcher
         self._pool = pool
         self._relay = relay
+        self._account = account
         self._log = log
         self._metrics = None
         self._server = links.HttpServer(self)
@@ -86,10 +93,26 @@
             "Connections to searchers.",
             lambda: self._pool.open_count,
         )
+        for sender in serving.Sender:
+            metrics.add_gauge(
+                f"citrondoor.memory.kept.{sender.name.lower()}",
+                f"What messages of a {sender.name.lower()} keep, bytes.",
+                lambda sender=sender: self._account.kept_bytes_of(sender),
+            )
+        metrics.add_gauge(
+            "citrondoor.memory.kept.peak",
+            "Most that all messages kept, bytes.",
+            lambda: self._account.peak_bytes,
+        )
+        metrics.add_gauge(
+            "citrondoor.memory.resident.peak",
+            "Most that the process kept resident, bytes.",
+            peak_resident_bytes,
+        )
         self._metrics = metrics
         await self._server.start(*addresses.split_address(settings.metrics))
 
-    def summary(self) -> dict[str, int]:
+    def summary(self) -> dict[str, int | dict[str, int]]:
         """Returns the counters for the periodic log event `summary`."""
         counts = self._dispatcher.counters
         limiter = self._dispatcher.hedge_retry_limiter
@@ -112,8 +135,15 @@
             "aborts": self._pool.counters.aborts,
             "connections": self._pool.open_count,
             "log_dropped": self._log.dropped_count,
+            "resident_peak_mb": peak_resident_bytes() // limits.BYTES_PER_MB,
+            "kept_peak": self._account.peak_bytes,
+            "kept": self._by_sender(self._account.kept_bytes_of),
+            "gave_way": self._by_sender(self._account.gave_way_counts.get),
         }
 
+    def _by_sender(self, read) -> dict[str, int]:
+        return {s.name.lower(): read(s) for s in serving.Sender if read(s)}
+
     def record_answer(self, status: int, latency_ms: int) -> None:
         """Records the latency of an answer once the library is imported."""
         if self._metrics is not None:
@@ -179,4 +209,16 @@
         yield "foreign", "Answers to others.", lambda: pool.unmatched
         yield "store_reads", "Readings of the store.", lambda: poller.read_count
         yield "store_failures", "That failed.", lambda: poller.failure_count
+        for sender in serving.Sender:
+            yield (
+                f"memory.gave_way.{sender.name.lower()}",
+                "Times that messages were dropped for want of memory.",
+                lambda sender=sender: self._account.gave_way_counts[sender],
+            )
         yield "log_dropped", "Lines left out.", lambda: self._log.dropped_count
+
+
+def peak_resident_bytes() -> int:
+    """Returns the most memory that the process kept resident, in bytes."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return usage.ru_maxrss * _BYTES_PER_KB
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -14,6 +14,7 @@
 from citrondoor import documents
 from citrondoor import entry
 from citrondoor import errors
+from citrondoor import limits
 from citrondoor import links
 from citrondoor import membership
 from citrondoor.daemon import _entry_metrics
@@ -129,6 +130,7 @@
     """
 
     __slots__ = (
+        "_account",
         "_adapter",
         "_caller_server",
         "_clock",
@@ -179,6 +181,7 @@
             self._on_settings,
             self._log.write,
         )
+        self._account = limits.MemoryAccount(limits.kept_limit_bytes(settings))
         self._build_view()
         self._build_dispatcher()
         self._build_servers()
@@ -241,6 +244,7 @@
             self._dispatcher,
             self._pool,
             self._relay,
+            self._account,
             self._log,
             self._clock,
         )
--- a/citrondoor/limits/__init__.py
+++ b/citrondoor/limits/__init__.py
@@ -5,6 +5,10 @@
 from citrondoor.limits._held_bytes import HeldBytesLimiter
 from citrondoor.limits._leases import Borrower
 from citrondoor.limits._leases import Lender
+from citrondoor.limits._memory_account import BYTES_PER_MB
+from citrondoor.limits._memory_account import Holder
+from citrondoor.limits._memory_account import MemoryAccount
+from citrondoor.limits._memory_account import kept_limit_bytes
 from citrondoor.limits._rates import STARTUP_LEASE_WAIT_MS
 from citrondoor.limits._rates import CustomerRateLimiter
 from citrondoor.limits._rates import RateLimiterTable
@@ -15,17 +19,21 @@
 from citrondoor.limits._warmup import WarmupLimiter
 
 __all__ = [
+    "BYTES_PER_MB",
     "MAX_OWNERS",
     "STARTUP_LEASE_WAIT_MS",
     "Borrower",
     "ConcurrencyLimiter",
     "CustomerRateLimiter",
     "HeldBytesLimiter",
+    "Holder",
     "Lender",
+    "MemoryAccount",
     "OfferResult",
     "OwnerShares",
     "RateLimiterTable",
     "TokenBucket",
     "WarmupLimiter",
     "assign_owners",
+    "kept_limit_bytes",
 ]
--- a/schema/serving.thrift
+++ b/schema/serving.thrift
@@ -165,12 +165,27 @@
   // Shared key of the peer links, hexadecimal; empty for no authentication.
   12: string peer_key = ""
   13: list<ZoneRegion> zones = []
-  // Memory of the VM in MB; limits what is held of partly received responses.
-  14: i32 memory_mb = 256
+  // Memory in MB over which the platform ends the process.
+  14: double memory_mb = 256
+  // Limit in MB on what the messages of callers, searchers, peers and the store
+  // keep in memory; 0 derives it from `memory_mb`.
+  15: double kept_mb = 0
+  // Limit on open files and sockets; 0 leaves only that of the kernel.
+  16: i32 max_fds = 0
+}
+
+// Who sends the messages that a daemon keeps in memory.
+enum Sender {
+  CALLER = 0
+  SEARCHER = 1
+  PEER = 2
+  STORE = 3
 }
 
 const map<string, declarations.Range> RANGES = {
   "EntrySettings.memory_mb": {"low": 32, "high": 1048576},
+  "EntrySettings.kept_mb": {"low": 0, "high": 1048576},
+  "EntrySettings.max_fds": {"low": 0, "high": 1073741824},
   "StoreSettings.timeout_ms": {"low": 10, "high": 60000},
   "StoreSettings.poll_ms": {"low": 50, "high": 60000},
   "StoreSettings.readers": {"low": 1, "high": 100},
