Hold signals back from the first import until the process has exited

Callers saw daemons end by a SIGHUP or SIGTERM that came in the first 0.3 s, and by a signal at the very end of a shutdown: handlers stood only after all imports, and the event loop removes them when it closes.

Now signals.block() is the first thing that runs; __init__ of platform and daemon import nothing, and __main__ and main import the programs only after it. The signals are unblocked once the loop's handlers stand and blocked for good when run() ends.

--- a/citrondoor/daemon/__init__.py
+++ b/citrondoor/daemon/__init__.py
@@ -3,8 +3,7 @@
 `Daemon`, started by `citrondoord`, enforces contracts and counts requests.
 `EntryDaemon`, started by `python3 -m citrondoor.platform`, routes requests by
 the routes in the platform's store.
-"""
-
-from citrondoor.daemon._settings import read_settings
 
-__all__ = ["read_settings"]
+`main` starts `citrondoord`. This file imports nothing, because it runs before
+`main` can block the signals.
+"""
--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -18,6 +18,7 @@
 from citrondoor import membership
 from citrondoor import rendezvous
 from citrondoor import runs
+from citrondoor import signals
 from citrondoor import telemetry
 from citrondoor import timeline
 from citrondoor.daemon import _counters
@@ -114,7 +115,17 @@
         self._build_api_server()
 
     async def run(self) -> None:
-        """Joins the cluster, serves until SIGTERM or SIGINT, and shuts down."""
+        """Joins the cluster, serves until SIGTERM or SIGINT, and shuts down.
+
+        Afterwards the signals are blocked, because the event loop removes
+        their handlers when it closes.
+        """
+        try:
+            await self._run()
+        finally:
+            signals.block()
+
+    async def _run(self) -> None:
         self._handle_signals()
         self._lifecycle.join()
         settings = self._settings
@@ -428,6 +439,11 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._on_signal)
+        loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        signals.unblock()
+
+    def _on_hangup(self) -> None:
+        self._log.warning("reload_refused", reason="settings need a restart")
 
     def _on_signal(self) -> None:
         self._stop_signal_count += 1
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import concurrent.futures
 import pathlib
 import random
 import signal
@@ -17,6 +18,7 @@
 from citrondoor import limits
 from citrondoor import links
 from citrondoor import membership
+from citrondoor import signals
 from citrondoor.daemon import _entry_metrics
 from citrondoor.daemon import _lifecycle
 from citrondoor.daemon import _settings
@@ -272,7 +274,17 @@
         return self._lifecycle.state == "serving"
 
     async def run(self) -> None:
-        """Joins the cluster, serves until SIGTERM or SIGINT, and shuts down."""
+        """Joins the cluster, serves until SIGTERM or SIGINT, and shuts down.
+
+        Afterwards the signals are blocked, because the event loop removes
+        their handlers when it closes.
+        """
+        try:
+            await self._run()
+        finally:
+            signals.block()
+
+    async def _run(self) -> None:
         settings = self._settings
         self._log.start()
         self._log.write(
@@ -430,9 +442,14 @@
 
     def _handle_signals(self) -> None:
         loop = asyncio.get_running_loop()
+        # A thread that took signals could take one when the handlers are gone.
+        loop.set_default_executor(
+            concurrent.futures.ThreadPoolExecutor(initializer=signals.block)
+        )
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        signals.unblock()
 
     def _on_hangup(self) -> None:
         self._settings_watch.check(is_signalled=True)
--- a/citrondoor/daemon/main.py
+++ b/citrondoor/daemon/main.py
@@ -1,66 +1,17 @@
-"""The command `citrondoord`, which runs a `Daemon`."""
+"""Starts the command `citrondoord`.
 
-import asyncio
-import pathlib
-import random
-import sys
+It imports nothing but `signals` until the signals are blocked.
+"""
 
-import click
+from citrondoor import signals
 
-from citrondoor import clock as clocks
-from citrondoor import errors
-from citrondoor import gc_tuning
-from citrondoor import telemetry
-from citrondoor.daemon import _assembly
-from citrondoor.daemon import _settings
 
-EXIT_BAD_SETTINGS = 2
+def main() -> None:
+    """Runs `citrondoord`; a signal during the imports waits for its handler."""
+    signals.block()
+    from citrondoor.daemon import command
 
-
-@click.command()
-@click.option(
-    "--settings",
-    "settings_path",
-    required=True,
-    type=click.Path(path_type=pathlib.Path),
-    help="YAML file with the settings of this daemon.",
-)
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
-@click.option("--seed", type=int, help="Seed of random choices, for tests.")
-def main(settings_path: pathlib.Path, check: bool, seed: int | None) -> None:
-    """Runs the daemon of one entry VM until SIGTERM."""
-    try:
-        settings = _settings.read_settings(settings_path)
-    except errors.DocumentError as error:
-        click.echo(str(error), err=True)
-        sys.exit(EXIT_BAD_SETTINGS)
-    if check:
-        return
-    run(settings, random.Random(seed))
-
-
-def run(settings, rng: random.Random, connector=None) -> None:
-    """Runs a daemon in this process.
-
-    Args:
-      settings: Checked settings.
-      rng: Random number generator.
-      connector: Opens connections to peers; None means
-        `asyncio.open_connection`.
-    """
-    telemetry.configure_logs()
-    gc_tuning.tune()
-    asyncio.run(_run(settings, rng, connector))
-
-
-async def _run(settings, rng: random.Random, connector) -> None:
-    daemon = _assembly.Daemon(
-        settings,
-        clocks.Clock(),
-        rng,
-        connector or asyncio.open_connection,
-    )
-    await daemon.run()
+    command.main()
 
 
 if __name__ == "__main__":
--- a/citrondoor/platform/__main__.py
+++ b/citrondoor/platform/__main__.py
@@ -1,80 +1,17 @@
-"""Runs the daemon on the platform: `python3 -m citrondoor.platform`."""
+"""Starts the daemon on the platform: `python3 -m citrondoor.platform`.
 
-import asyncio
-import os
-import pathlib
-import random
-import sys
+It imports nothing but `signals` until the signals are blocked.
+"""
 
-import click
+from citrondoor import signals
 
-from citrondoor import clock as clocks
-from citrondoor import errors
-from citrondoor import gc_tuning
-from citrondoor import platform
-from citrondoor.daemon import entry_daemon
-from citrondoor.schema import serving
 
-SETTINGS_VARIABLE = "CITRONDOOR_SETTINGS"
-EXIT_BAD_SETTINGS = 2
+def main() -> None:
+    """Runs the daemon; a signal during the imports waits for its handler."""
+    signals.block()
+    from citrondoor.platform import _command
 
-
-class PlatformAdapter:
-    """Creates the clients, codecs and handlers for the platform."""
-
-    __slots__ = ()
-
-    def make_store_client(self, settings, on_unreadable):
-        """Returns a client of the platform's store."""
-        return platform.StoreClient(settings, on_unreadable)
-
-    def make_searcher_codec(self, on_unreadable):
-        """Returns the codec of requests to searchers and their responses."""
-        return platform.PlatformSearcherCodec(on_unreadable)
-
-    def make_caller_handler(self, dispatcher, clock, on_bad_request, on_answer):
-        """Returns the handler of callers' requests."""
-        return platform.CallerHandler(
-            dispatcher, clock, on_bad_request, on_answer
-        )
-
-    def make_readiness_handler(self, is_ready):
-        """Returns the handler of readiness checks."""
-        return platform.ReadinessHandler(is_ready)
-
-    def make_directory_handler(self, choose_endpoints, ttl_s):
-        """Returns the handler of callers' address look-ups."""
-        return platform.DirectoryHandler(choose_endpoints, ttl_s)
-
-
-@click.command()
-@click.option(
-    "--settings",
-    "path",
-    type=click.Path(path_type=pathlib.Path),
-    default=lambda: os.environ.get(SETTINGS_VARIABLE),
-    required=True,
-    help=f"YAML settings file; default: the path in {SETTINGS_VARIABLE}.",
-)
-@click.option("--check", is_flag=True, help="Check the settings and exit.")
-def main(path: pathlib.Path, check: bool) -> None:
-    """Runs the daemon of one entry VM until SIGTERM."""
-    try:
-        settings = entry_daemon.read_entry_settings(pathlib.Path(path))
-    except errors.DocumentError as error:
-        click.echo(str(error), err=True)
-        sys.exit(EXIT_BAD_SETTINGS)
-    if check:
-        return
-    gc_tuning.tune()
-    asyncio.run(_run(pathlib.Path(path), settings))
-
-
-async def _run(path: pathlib.Path, settings: serving.EntrySettings) -> None:
-    daemon = entry_daemon.EntryDaemon(
-        path, settings, PlatformAdapter(), clocks.Clock(), random.Random()
-    )
-    await daemon.run()
+    _command.main()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/citrondoor/signals.py
@@ -0,0 +1,27 @@
+"""Holds back the signals that a daemon handles while no handler stands.
+
+Blocked signals stay pending and reach the handlers once they are unblocked.
+Only the programs call these functions: importing the package leaves the
+caller's signal mask as it is.
+"""
+
+# `signal` imports `enum`, which takes as long as the interpreter's own start.
+import _signal
+
+HANDLED = (_signal.SIGHUP, _signal.SIGINT, _signal.SIGTERM)
+
+
+def block() -> None:
+    """Blocks the handled signals in this thread and those that it starts."""
+    _signal.pthread_sigmask(_signal.SIG_BLOCK, HANDLED)
+
+
+def unblock() -> None:
+    """Lets this thread receive the handled signals."""
+    _signal.pthread_sigmask(_signal.SIG_UNBLOCK, HANDLED)
+
+
+def is_end_pending() -> bool:
+    """Returns whether a blocked SIGINT or SIGTERM waits for its handler."""
+    pending = _signal.sigpending()
+    return _signal.SIGINT in pending or _signal.SIGTERM in pending
--- a/citrondoor/standins/faulty_daemon.py
+++ b/citrondoor/standins/faulty_daemon.py
@@ -12,8 +12,7 @@
 import click
 import orjson
 
-from citrondoor import daemon
-from citrondoor.daemon import main as daemon_main
+from citrondoor.daemon import command
 
 POLL_S = 0.05
 PARTITION_FILE = "partition.json"
@@ -100,10 +99,10 @@
 )
 def main(path: pathlib.Path) -> None:
     """Runs a daemon whose links can be cut."""
-    settings = daemon.read_settings(path)
+    settings = command.read_settings(path)
     own_endpoint = f"{settings.address}:{settings.peer_port}"
     partition = _Partition(path.parent / PARTITION_FILE, own_endpoint)
-    daemon_main.run(settings, random.Random(), _Connector(partition))
+    command.run(settings, random.Random(), _Connector(partition))
 
 
 if __name__ == "__main__":
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -3,6 +3,8 @@
 import asyncio
 import base64
 import contextlib
+import os
+import pathlib
 import random
 import socket
 import sys
@@ -14,6 +16,7 @@
 from citrondoor.codecs import http1
 
 HOST = "127.0.0.1"
+ROOT = pathlib.Path(__file__).parents[2]
 LIMITS = {
     "max-header-bytes": 16384,
     "max-body-bytes": 262144,
@@ -166,16 +169,16 @@
         self.log_path = folder / f"{name}.log"
         self.process = None
 
-    async def start(self):
+    async def start(self, command=("-m", "citrondoor.platform")):
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                "citrondoor.platform",
+                *command,
                 "--settings",
                 str(self.settings_path),
                 stdout=log,
                 stderr=log,
+                env=os.environ | {"PYTHONPATH": str(ROOT)},
             )
 
     def log_records(self):
--- /dev/null
+++ b/tests/platform/test_signals.py
@@ -0,0 +1,146 @@
+"""Sends signals to daemon processes while they start and while they end."""
+
+import asyncio
+import pathlib
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from citrondoor import signals
+from tests.platform import deployment as deployments
+
+MASK = sum(1 << (number - 1) for number in signals.HANDLED)
+GRACE_S = 0.4
+TIMEOUT_S = 15.0
+# From the moment at which the process has blocked the signals.
+START_DELAYS_S = [0.0, 0.05, 0.1, 0.2, 0.3, 0.5]
+
+
+def make_daemon(folder, number):
+    ports = deployments.free_ports(6)
+    seeds = [f"{deployments.HOST}:{ports[3]}"]
+    return deployments.Daemon(
+        f"vm-{number}", folder, ports[5], seeds, ports[:5], GRACE_S
+    )
+
+
+async def start_blocked(daemon, command):
+    await daemon.start(command)
+    async with asyncio.timeout(TIMEOUT_S):
+        while not blocks_signals(daemon.process.pid):
+            await asyncio.sleep(0.001)
+
+
+def blocks_signals(process_id, task_id=None):
+    folder = pathlib.Path(f"/proc/{process_id}/task/{task_id or process_id}")
+    for line in (folder / "status").read_text().splitlines():
+        if line.startswith("SigBlk:"):
+            return int(line.split()[1], 16) & MASK == MASK
+    return False
+
+
+async def end_of(daemon):
+    async with asyncio.timeout(TIMEOUT_S):
+        code = await daemon.process.wait()
+    lines = daemon.log_path.read_text().splitlines()
+    return code, daemon.log_records()[-1]["event"] if lines else None
+
+
+@pytest.mark.parametrize(
+    "command",
+    [
+        ["-m", "citrondoor.platform"],
+        [str(deployments.ROOT / "deploy" / "entry.py")],
+    ],
+)
+def test_no_signal_during_the_start_ends_the_process(tmp_path, command):
+    # FAULT: a SIGHUP in the first 0.3 s ended it by the signal.
+    async def send_at(number, delay_s):
+        daemon = make_daemon(tmp_path, number)
+        await start_blocked(daemon, command)
+        await asyncio.sleep(delay_s)
+        daemon.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.01)
+        daemon.process.send_signal(signal.SIGTERM)
+        return await end_of(daemon)
+
+    async def body():
+        ends = []
+        for first in range(0, len(START_DELAYS_S), 2):
+            pair = START_DELAYS_S[first : first + 2]
+            ends += await asyncio.gather(
+                *(send_at(first + n, delay) for n, delay in enumerate(pair))
+            )
+        return ends
+
+    assert asyncio.run(body()) == [(0, "stopped")] * len(START_DELAYS_S)
+
+
+def test_no_signal_during_the_shutdown_cuts_it(tmp_path):
+    # FAULT: a signal after the event loop had removed its handlers ended it.
+    async def shut_down(number):
+        daemon = make_daemon(tmp_path, number)
+        await start_blocked(daemon, ["-m", "citrondoor.platform"])
+        started_at = asyncio.get_running_loop().time()
+        while daemon.process.returncode is None:
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+                try:
+                    daemon.process.send_signal(number)
+                except ProcessLookupError:
+                    break
+            await asyncio.sleep(0.0005)
+        lasted_s = asyncio.get_running_loop().time() - started_at
+        return *await end_of(daemon), lasted_s > GRACE_S * 0.6
+
+    async def body():
+        return await asyncio.gather(*(shut_down(n) for n in range(2)))
+
+    assert asyncio.run(body()) == [(0, "stopped", True)] * 2
+
+
+def test_only_the_main_thread_takes_signals(tmp_path):
+    async def body():
+        async with deployments.Deployment(tmp_path, daemons=1) as deployment:
+            (daemon,) = deployment.daemons
+            await deployment.wait_until(lambda: serves(daemon.metrics))
+            main = daemon.process.pid
+            tasks = pathlib.Path(f"/proc/{main}/task").iterdir()
+            return {
+                (int(task.name) == main, blocks_signals(main, task.name))
+                for task in tasks
+            }
+
+    async def serves(port):
+        try:
+            return await deployments.send_http_request(port, b"/metrics")
+        except OSError:
+            return False
+
+    assert asyncio.run(body()) == {(True, False), (False, True)}
+
+
+@pytest.mark.parametrize(
+    "module", ["citrondoor.platform.__main__", "citrondoor.daemon.main"]
+)
+def test_nothing_slow_is_imported_before_signals_are_blocked(module):
+    program = (
+        f"import sys; before = set(sys.modules); import {module};"
+        "print(*sorted(set(sys.modules) - before))"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True
+    )
+    parents = [module.rsplit(".", count)[0] for count in range(3)]
+    assert result.stdout.split() == sorted([*parents, "citrondoor.signals"])
+
+
+def test_importing_the_package_leaves_the_signal_mask():
+    program = (
+        "import signal; before = signal.pthread_sigmask(signal.SIG_BLOCK, ());"
+        "import citrondoor.platform.__main__, citrondoor.platform._command;"
+        "import citrondoor.daemon.main, citrondoor.daemon.command;"
+        "assert before == signal.pthread_sigmask(signal.SIG_BLOCK, ())"
+    )
+    subprocess.run([sys.executable, "-c", program], check=True)
