Keep the log, and the end, independent of standard output

Callers saw a daemon that was told to end exit with 120 if the reader of its standard output was gone, and by SIGABRT if the pipe was full; with a closed one the log's thread ended by an AttributeError and counted no line.

Evidence on: 'assert (200, 120) == (200, 0)' and 'assert (200, -6) == (200, 0)'; "'NoneType' object has no attribute 'buffer'". The interpreter flushes sys.stdout at its end: what could not be written fails once more, and a buffer that the log's thread is still writing is locked.

The log now writes to the descriptor, so that the interpreter's buffer stays empty. A value that orjson refuses is encoded by json instead of raising in the part that logs it; a line that was cut off is ended before the next.

--- a/citrondoor/entry/_decision_log.py
+++ b/citrondoor/entry/_decision_log.py
@@ -7,6 +7,8 @@
 """
 
 import collections
+import json
+import os
 import sys
 import threading
 import time
@@ -24,36 +26,55 @@
 BATCH_DELAY_S = 0.05
 
 
+def _standard_output() -> int | None:
+    """Returns the descriptor of standard output; None if it is closed."""
+    try:
+        return None if sys.stdout is None else sys.stdout.fileno()
+    except (OSError, ValueError):
+        return None
+
+
 class DecisionLog:
-    """Queues log lines and writes them to a stream from its own thread.
+    """Queues log lines and writes them to a file from its own thread.
+
+    It writes to the descriptor and not through `sys.stdout`, whose buffer the
+    interpreter flushes at its end: that fails if a write is unfinished then, or
+    has failed before.
 
     Args:
       vm: Name of this VM, written in each line.
       clock: Clock of the daemon.
-      stream: Text stream with a binary `buffer`, to which lines are written.
+      descriptor: File descriptor to which lines are written; None means
+        standard output. Lines are dropped if that is closed.
     """
 
     __slots__ = (
         "_clock",
+        "_descriptor",
         "_is_closing",
+        "_is_line_cut",
         "_limited_second",
         "_queue",
         "_remaining_lines",
-        "_stream",
         "_thread",
         "_vm",
         "_wakeup",
         "dropped_count",
     )
 
-    def __init__(self, vm: str, clock: clocks.Clock, stream=sys.stdout):
+    def __init__(
+        self, vm: str, clock: clocks.Clock, descriptor: int | None = None
+    ):
         self._vm = vm
         self._clock = clock
-        self._stream = stream
+        self._descriptor = (
+            _standard_output() if descriptor is None else descriptor
+        )
         self._queue: collections.deque[bytes] = collections.deque()
         self._wakeup = threading.Event()
         self._thread: threading.Thread | None = None
         self._is_closing = False
+        self._is_line_cut = False
         # Second to which the rate limit applies, and lines still allowed in it.
         self._limited_second = 0
         self._remaining_lines = MAX_LINES_PER_S
@@ -85,7 +106,7 @@
             self.dropped_count += 1
             return
         line = {"at": self._clock.unix_ms(), "vm": self._vm, "event": event}
-        self._queue.append(orjson.dumps(line | fields, default=str) + b"\n")
+        self._queue.append(_encode(line | fields) + b"\n")
         self._wakeup.set()
 
     def write_rate_limited(self, event: str, **fields) -> None:
@@ -109,11 +130,29 @@
             lines = []
             while self._queue:
                 lines.append(self._queue.popleft())
-            try:
-                self._stream.buffer.write(b"".join(lines))
-                self._stream.buffer.flush()
-            except (OSError, ValueError):
-                # The log's reader is gone; the daemon keeps serving without it.
+            if not self._write_out(b"".join(lines)):
                 self.dropped_count += len(lines)
             if self._is_closing and not self._queue:
                 return
+
+    def _write_out(self, data: bytes) -> bool:
+        """Writes lines; returns whether all of them were written."""
+        if self._descriptor is None:
+            return False
+        rest = b"\n" + data if self._is_line_cut else data
+        try:
+            while rest:
+                rest = rest[os.write(self._descriptor, rest) :]
+                self._is_line_cut = rest != b""
+        except OSError:
+            # The log's reader is gone; the daemon keeps serving without it.
+            return False
+        return True
+
+
+def _encode(line: dict) -> bytes:
+    try:
+        return orjson.dumps(line, default=str)
+    except TypeError:
+        # An integer over 64 bits, or text that is not valid Unicode.
+        return json.dumps(line, default=str, skipkeys=True).encode()
--- /dev/null
+++ b/tests/entry/test_decision_log.py
@@ -0,0 +1,112 @@
+import contextlib
+import os
+import sys
+
+import orjson
+import pytest
+
+from citrondoor import clock as clocks
+from citrondoor.entry import _decision_log
+
+
+def read_lines(descriptor):
+    os.set_blocking(descriptor, False)
+    with contextlib.suppress(BlockingIOError):
+        return [orjson.loads(n) for n in os.read(descriptor, 65536).split()]
+    return []
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    for descriptor in (reader, writer):
+        with contextlib.suppress(OSError):
+            os.close(descriptor)
+
+
+def make_log(descriptor=None):
+    log = _decision_log.DecisionLog("vm-1", clocks.ManualClock(), descriptor)
+    log.start()
+    return log
+
+
+def test_closing_writes_the_lines_that_are_queued(pipe):
+    log = make_log(pipe[1])
+    log.write("started")
+    log.write("ended", reason="signal")
+    log.close(timeout_s=5.0)
+    lines = read_lines(pipe[0])
+    assert [line["event"] for line in lines] == ["started", "ended"]
+    assert lines[1] == {
+        "at": 0,
+        "vm": "vm-1",
+        "event": "ended",
+        "reason": "signal",
+    }
+
+
+def test_the_thread_survives_that_standard_output_is_closed(monkeypatch):
+    # The thread ended with an AttributeError, and no line was counted.
+    monkeypatch.setattr(sys, "stdout", None)
+    log = make_log()
+    log.write("started")
+    log.close(timeout_s=5.0)
+    assert log.dropped_count == 1
+
+
+def test_the_thread_survives_that_the_reader_is_gone(pipe):
+    os.close(pipe[0])
+    log = make_log(pipe[1])
+    log.write("started")
+    log.close(timeout_s=5.0)
+    assert log.dropped_count == 1
+
+
+def test_a_full_pipe_holds_up_neither_writers_nor_the_end(pipe):
+    fill(pipe[1])
+    os.set_blocking(pipe[1], True)
+    log = make_log(pipe[1])
+    for _ in range(2 * _decision_log.MAX_QUEUED_LINES):
+        log.write("summary")
+    log.close(timeout_s=0.1)
+    assert log.dropped_count > 0
+    os.read(pipe[0], 65536)
+
+
+def test_a_line_that_was_cut_off_is_ended_before_the_next(pipe):
+    fill(pipe[1])
+    os.read(pipe[0], 4096)
+    log = make_log(pipe[1])
+    log.write("long", text="x" * 8192)
+    while log.dropped_count == 0:
+        os.sched_yield()
+    while read_all(pipe[0]):
+        pass
+    log.write("next")
+    log.close(timeout_s=5.0)
+    assert os.read(pipe[0], 1) == b"\n"
+    assert read_lines(pipe[0])[0]["event"] == "next"
+
+
+def fill(descriptor):
+    os.set_blocking(descriptor, False)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            os.write(descriptor, b"x" * 4096)
+
+
+def read_all(descriptor):
+    os.set_blocking(descriptor, False)
+    with contextlib.suppress(BlockingIOError):
+        return os.read(descriptor, 65536)
+    return b""
+
+
+@pytest.mark.parametrize("value", [2**70, "\ud800", {1: 2}])
+def test_a_value_that_orjson_cannot_encode_is_written(pipe, value):
+    log = make_log(pipe[1])
+    log.write("part_failed", error=value)
+    log.close(timeout_s=5.0)
+    assert os.read(pipe[0], 65536).endswith(b"}\n")
+    assert log.dropped_count == 0
