Read settings again that are being written at the start

Callers saw a daemon end with code 2 if its settings file was missing, empty or half written at the moment of the start. A file that was cut off among its last lines was even read, without the zones. A setting that a version doesn't know ended it too, and so did 30.0 for an integer.

While the daemon starts, an invalid file is read again for 2 s, and SIGTERM ends that wait with code 0. An integral fraction is read as an integer in all documents; other fractions are refused with the line, as before.

--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import typing
+from collections.abc import Callable
 
 from citrondoor import addresses
 from citrondoor import clock as clocks
@@ -46,13 +47,21 @@
 JOIN_POLL_MS = 10
 
 
-def read_entry_settings(path: pathlib.Path) -> serving.EntrySettings:
+def read_entry_settings(
+    path: pathlib.Path,
+    on_unknown: Callable[[errors.DocumentError], None] | None = None,
+) -> serving.EntrySettings:
     """Reads and checks a settings file.
 
+    Args:
+      path: The settings file.
+      on_unknown: Called with the error of each unknown setting, which is
+        ignored then; None means that an unknown setting is an error.
+
     Raises:
       errors.DocumentError: The file is missing or a setting is invalid.
     """
-    settings = documents.read_file(serving.EntrySettings, path)
+    settings = documents.read_file(serving.EntrySettings, path, on_unknown)
     addresses_by_name = {
         name: getattr(settings, name)
         for name in ("front", "readiness", "directory", "peers", "metrics")
@@ -127,6 +136,7 @@
     Args:
       path: The settings file.
       settings: Checked settings.
+      unknown_settings: Errors of the settings that were ignored.
       adapter: Creates the components that depend on the platform.
       clock: Clock of the daemon.
       rng: Random number generator.
@@ -163,6 +173,7 @@
         self,
         path: pathlib.Path,
         settings: serving.EntrySettings,
+        unknown_settings: list[errors.DocumentError],
         adapter: Adapter,
         clock: clocks.Clock,
         rng: random.Random,
@@ -173,6 +184,8 @@
         self._rng = rng
         self._incarnation = clock.unix_ms()
         self._log = entry.DecisionLog(settings.vm, clock)
+        for error in unknown_settings:
+            self._on_unknown_setting(error)
         self._stopping = asyncio.Event()
         self._ending: endings.Ending | None = None
         self._parts = _supervisor.Parts(
@@ -182,7 +195,7 @@
         self._settings_watch = _settings_watch.SettingsWatch(
             path,
             settings,
-            read_entry_settings,
+            lambda path: read_entry_settings(path, self._on_unknown_setting),
             self._on_settings,
             self._log.write,
         )
@@ -450,6 +463,9 @@
     def _record_event(self, kind: str, detail: str) -> None:
         self._log.write(kind, detail=detail)
 
+    def _on_unknown_setting(self, error: errors.DocumentError) -> None:
+        self._log.write("setting_unknown", reason=str(error))
+
     def _end(self, ending: endings.Ending) -> None:
         """Begins the shutdown; the first reason is the one that counts."""
         if self._ending is None:
--- a/citrondoor/documents/_build.py
+++ b/citrondoor/documents/_build.py
@@ -6,6 +6,7 @@
 
 import functools
 import re
+from collections.abc import Callable
 
 import thrift.protocol.TProtocol
 import thrift.Thrift
@@ -40,7 +41,8 @@
 }
 _TAGS_BY_SCALAR_TYPE = {
     "bool": ("tag:yaml.org,2002:bool",),
-    "int": ("tag:yaml.org,2002:int",),
+    # A float must be integral, such as 30.0.
+    "int": ("tag:yaml.org,2002:int", "tag:yaml.org,2002:float"),
     "number": ("tag:yaml.org,2002:int", "tag:yaml.org,2002:float"),
     "str": ("tag:yaml.org,2002:str",),
 }
@@ -60,12 +62,19 @@
 
     Args:
       path: File or key of the document, for error messages.
+      on_unknown: Called with the error of each unknown key, which is ignored
+        then; None means that an unknown key is an error.
     """
 
-    __slots__ = ("_path",)
+    __slots__ = ("_on_unknown", "_path")
 
-    def __init__(self, path: str):
+    def __init__(
+        self,
+        path: str,
+        on_unknown: Callable[[errors.DocumentError], None] | None = None,
+    ):
         self._path = path
+        self._on_unknown = on_unknown
 
     def build(self, schema_class: type, node: yaml.Node):
         """Returns an instance of a generated class with a node's values.
@@ -86,7 +95,13 @@
         values = {}
         for key_node, value_node in node.value:
             key = key_node.value
-            field = self._find_field(schema_class, key_node)
+            try:
+                field = self._find_field(schema_class, key_node)
+            except errors.DocumentError as error:
+                if self._on_unknown is None:
+                    raise
+                self._on_unknown(error)
+                continue
             if key in values:
                 raise self._error(
                     key_node, f"duplicate key {key!r}", "keep one"
@@ -153,6 +168,12 @@
                 " otherwise without quotes)",
             )
         value = _constructor.construct_object(node)
+        if scalar_type == "int":
+            if value != value // 1:
+                raise self._error(
+                    node, f"{label} is {node.value!r}", "write a whole number"
+                )
+            value = int(value)
         self._check_range(value, node, label)
         return float(value) if scalar_type == "number" else value
 
--- a/citrondoor/platform/_command.py
+++ b/citrondoor/platform/_command.py
@@ -12,8 +12,10 @@
 from citrondoor import entry
 from citrondoor import errors
 from citrondoor import gc_tuning
+from citrondoor import signals
 from citrondoor.daemon import endings
 from citrondoor.daemon import entry_daemon
+from citrondoor.daemon import settings_wait
 from citrondoor.platform import _callers
 from citrondoor.platform import _searcher_codec
 from citrondoor.platform import _store
@@ -62,21 +64,52 @@
 @click.option("--check", is_flag=True, help="Check the settings and exit.")
 def main(path: pathlib.Path, check: bool) -> None:
     """Runs the daemon of one entry VM until SIGTERM."""
+    if check:
+        sys.exit(_check(pathlib.Path(path)))
+    sys.exit(_run(pathlib.Path(path)))
+
+
+def _check(path: pathlib.Path) -> endings.ExitCode:
     try:
-        settings = entry_daemon.read_entry_settings(pathlib.Path(path))
+        entry_daemon.read_entry_settings(path)
     except errors.DocumentError as error:
         click.echo(str(error), err=True)
-        if not check:
-            _log_end("", endings.of_settings(error))
-        sys.exit(endings.ExitCode.BAD_SETTINGS)
-    if check:
-        return
-    gc_tuning.tune()
+        return endings.ExitCode.BAD_SETTINGS
+    return endings.ExitCode.PLANNED
+
+
+def _run(path: pathlib.Path) -> endings.ExitCode:
+    vm = ""
     try:
-        code = asyncio.run(_run(pathlib.Path(path), settings))
+        settings, unknown_settings = _read_settings(path)
+        vm = settings.vm
+        gc_tuning.tune()
+        return asyncio.run(_run_daemon(path, settings, unknown_settings))
+    except errors.DocumentError as error:
+        signal_name = signals.pending_end()
+        if signal_name is not None:
+            return _log_end(vm, endings.of_signal(signal_name))
+        click.echo(str(error), err=True)
+        return _log_end(vm, endings.of_settings(error))
     except Exception as error:
-        code = _log_end(settings.vm, endings.of_error("process", error))
-    sys.exit(code)
+        return _log_end(vm, endings.of_error("process", error))
+
+
+def _read_settings(
+    path: pathlib.Path,
+) -> tuple[serving.EntrySettings, list[errors.DocumentError]]:
+    """Returns the settings and the errors of those that were ignored."""
+
+    def read():
+        unknown_settings = []
+        settings = entry_daemon.read_entry_settings(
+            path, unknown_settings.append
+        )
+        return settings, unknown_settings
+
+    return settings_wait.read_when_complete(
+        read, lambda: signals.pending_end() is not None, clocks.Clock()
+    )
 
 
 def _log_end(vm: str, ending: endings.Ending) -> endings.ExitCode:
@@ -88,10 +121,17 @@
     return ending.code
 
 
-async def _run(
-    path: pathlib.Path, settings: serving.EntrySettings
+async def _run_daemon(
+    path: pathlib.Path,
+    settings: serving.EntrySettings,
+    unknown_settings: list[errors.DocumentError],
 ) -> endings.ExitCode:
     daemon = entry_daemon.EntryDaemon(
-        path, settings, PlatformAdapter(), clocks.Clock(), random.Random()
+        path,
+        settings,
+        unknown_settings,
+        PlatformAdapter(),
+        clocks.Clock(),
+        random.Random(),
     )
     return await daemon.run()
--- a/citrondoor/signals.py
+++ b/citrondoor/signals.py
@@ -21,7 +21,9 @@
     _signal.pthread_sigmask(_signal.SIG_UNBLOCK, HANDLED)
 
 
-def is_end_pending() -> bool:
-    """Returns whether a blocked SIGINT or SIGTERM waits for its handler."""
+def pending_end() -> str | None:
+    """Returns the name of a blocked signal that asks for the end, or None."""
     pending = _signal.sigpending()
-    return _signal.SIGINT in pending or _signal.SIGTERM in pending
+    if _signal.SIGTERM in pending:
+        return "SIGTERM"
+    return "SIGINT" if _signal.SIGINT in pending else None
--- a/tests/daemon/test_entry_daemon.py
+++ b/tests/daemon/test_entry_daemon.py
@@ -3,6 +3,7 @@
 from citrondoor import errors
 from citrondoor.daemon import _settings_watch
 from citrondoor.daemon import entry_daemon
+from citrondoor.schema import serving
 
 VALID_SETTINGS = """
 vm: vm-1
@@ -54,6 +55,16 @@
         read_settings(tmp_path, VALID_SETTINGS.replace(old, new, 1))
 
 
+def test_unknown_settings_are_reported_and_ignored(tmp_path):
+    path = tmp_path / "settings.yaml"
+    path.write_text(VALID_SETTINGS.replace("extra_slack", "extra_slak"))
+    unknown = []
+    settings = entry_daemon.read_entry_settings(path, unknown.append)
+    assert settings.bounds.extra_slack == serving.BoundSettings().extra_slack
+    (error,) = unknown
+    assert "unknown key 'extra_slak'" in str(error)
+
+
 class WatchedFile:
     """A settings file with its watch, and what the watch reported."""
 
--- a/tests/documents/test_read.py
+++ b/tests/documents/test_read.py
@@ -68,6 +68,39 @@
     assert "\n" not in message
 
 
+@pytest.mark.parametrize(
+    ("written", "expected"), [("100.0", 100), ("1.0e+3", 1000), ("1_0", 10)]
+)
+def test_an_integral_fraction_is_read_as_an_integer(written, expected):
+    text = VALID_SETTINGS.replace(
+        "heartbeat_ms: 100", f"heartbeat_ms: {written}"
+    )
+    value = read(text).peers.heartbeat_ms
+    assert (value, type(value)) == (expected, int)
+
+
+@pytest.mark.parametrize("written", ["100.5", ".inf", "-.inf", ".nan"])
+def test_a_fraction_is_no_integer(written):
+    text = VALID_SETTINGS.replace(
+        "heartbeat_ms: 100", f"heartbeat_ms: {written}"
+    )
+    with pytest.raises(errors.DocumentError, match="heartbeat_ms") as caught:
+        read(text)
+    assert str(caught.value).startswith("s.yaml:10: ")
+
+
+def test_unknown_keys_are_ignored_if_the_reader_wants_to_know_of_them():
+    unknown = []
+    settings = documents.read_text(
+        schema_settings.DaemonSettings,
+        "s.yaml",
+        VALID_SETTINGS + "  new: 1\nnewer: {a: [1]}\n[a, b]: 2\n",
+        unknown.append,
+    )
+    assert settings == read(VALID_SETTINGS)
+    assert [str(error).split(":")[1] for error in unknown] == ["11", "12", "13"]
+
+
 @pytest.mark.parametrize("text", ["", "# nothing\n", "[1]", "5"])
 def test_document_that_is_not_a_mapping_is_rejected(text):
     with pytest.raises(errors.DocumentError):
