Tests of signals: wait for handlers too, and let Popen send the signals

On a machine with a load of 17 two of the new tests failed once each: 'TimeoutError', because the test polled too rarely to see the process while its signals were blocked, and '(255, 'stopped', True)', because asyncio's send_signal reaps a process that has just ended and asyncio then reports 255. Neither was the daemon's. The tests now also take standing handlers for safe, and end at once if the process has ended; the shutdown's uses subprocess.Popen. What they expect is unchanged.

--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -28,7 +28,7 @@
         stderr=subprocess.DEVNULL,
     )
     ends_at = time.monotonic() + TIMEOUT_S
-    while not test_signals.blocks_signals(process.pid):
+    while not test_signals.is_safe(process.pid):
         assert time.monotonic() < ends_at
         time.sleep(0.001)
     time.sleep(delay_s)
--- a/tests/platform/test_endings.py
+++ b/tests/platform/test_endings.py
@@ -81,7 +81,7 @@
     async def body():
         failure = "_peer_network.PeerNetwork.close = fail"
         daemon = await start(tmp_path, [failure])
-        while not test_signals.blocks_signals(daemon.process.pid):
+        while not test_signals.is_safe(daemon.process.pid):
             await asyncio.sleep(0.001)
         daemon.process.send_signal(signal.SIGTERM)
         return await end_of(daemon)
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -29,14 +30,25 @@
 async def start_blocked(daemon, command):
     await daemon.start(command)
     async with asyncio.timeout(TIMEOUT_S):
-        while not blocks_signals(daemon.process.pid):
+        while not is_safe(daemon.process.pid):
+            assert daemon.process.returncode is None, (
+                daemon.log_path.read_text()
+            )
             await asyncio.sleep(0.001)
 
 
+def is_safe(process_id):
+    return blocks_signals(process_id) or has_signals(process_id, "SigCgt")
+
+
 def blocks_signals(process_id, task_id=None):
+    return has_signals(process_id, "SigBlk", task_id)
+
+
+def has_signals(process_id, mask_name, task_id=None):
     folder = pathlib.Path(f"/proc/{process_id}/task/{task_id or process_id}")
     for line in (folder / "status").read_text().splitlines():
-        if line.startswith("SigBlk:"):
+        if line.startswith(f"{mask_name}:"):
             return int(line.split()[1], 16) & MASK == MASK
     return False
 
@@ -78,26 +90,27 @@
     assert asyncio.run(body()) == [(0, "stopped")] * len(START_DELAYS_S)
 
 
-def test_no_signal_during_the_shutdown_cuts_it(tmp_path):
+@pytest.mark.parametrize("repetition", range(2))
+def test_no_signal_during_the_shutdown_cuts_it(tmp_path, repetition):
     # FAULT: a signal after the event loop had removed its handlers ended it.
-    async def shut_down(number):
-        daemon = make_daemon(tmp_path, number)
-        await start_blocked(daemon, ["-m", "citrondoor.platform"])
-        started_at = asyncio.get_running_loop().time()
-        while daemon.process.returncode is None:
-            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
-                try:
-                    daemon.process.send_signal(number)
-                except ProcessLookupError:
-                    break
-            await asyncio.sleep(0.0005)
-        lasted_s = asyncio.get_running_loop().time() - started_at
-        return *await end_of(daemon), lasted_s > GRACE_S * 0.6
-
-    async def body():
-        return await asyncio.gather(*(shut_down(n) for n in range(2)))
-
-    assert asyncio.run(body()) == [(0, "stopped", True)] * 2
+    daemon = make_daemon(tmp_path, 0)
+    command = [sys.executable, "-m", "citrondoor.platform"]
+    with daemon.log_path.open("ab") as log:
+        process = subprocess.Popen(
+            [*command, "--settings", daemon.settings_path], stdout=log
+        )
+    while not is_safe(process.pid):
+        assert process.poll() is None
+        time.sleep(0.001)
+    started_at = time.monotonic()
+    while process.poll() is None:
+        # Sends nothing to a process that has ended.
+        for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):
+            process.send_signal(number)
+        time.sleep(0.0005)
+    assert process.returncode == 0
+    assert daemon.log_records()[-1]["event"] == "stopped"
+    assert time.monotonic() - started_at > GRACE_S * 0.6
 
 
 def test_only_the_main_thread_takes_signals(tmp_path):
