Search a body for a second response in linear time

What callers saw: none answered while one body of 104 kB that repeats a status line without an end of line was searched, for 14.7 s of processor time (13 kB: 0.23 s, 26 kB: 0.92 s, 52 kB: 3.7 s). A body may have 16 MB.

Cause: `_RESPONSE_START.search` reads from each status line to the end of the line.

Evidence: test_a_long_line_of_status_lines_takes_little_time (1 MB) did not end within 120 s before.

All status lines of one line have the same end, so only the first one is matched, and the search goes on behind the line. A test compares both searches.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -39,6 +39,7 @@
 # A status line. In a reason phrase or in the value of a header, it begins
 # another response.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}[ \r]")
+_LINE_END = re.compile(rb"[\r\n]")
 _HEAD_END = b"\r\n\r\n"
 # Looked for before the patterns, which takes less time.
 _PROTOCOL = b"HTTP/1."
@@ -142,10 +143,20 @@
         If the peer broke off this response and sent another one, the rest of
         that one follows the body, and is no response.
         """
-        return (
-            _PROTOCOL in self.body
-            and _RESPONSE_START.search(self.body) is not None
-        )
+        body = self.body
+        if _PROTOCOL not in body:
+            return False
+        # One search of the whole body would take time that grows with the
+        # square of a line's length.
+        start = _STATUS_LINE.search(body)
+        while start is not None:
+            if _RESPONSE_START.match(body, start.start()) is not None:
+                return True
+            line_end = _LINE_END.search(body, start.end())
+            if line_end is None:
+                return False
+            start = _STATUS_LINE.search(body, line_end.start())
+        return False
 
     def header_value(self, name: bytes) -> bytes | None:
         """Returns the first value of a header, or None.
--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -1,4 +1,5 @@
 import contextlib
+import time
 
 import hypothesis
 import pytest
@@ -311,3 +312,30 @@
     (response,) = reader.feed(data)
     assert response.body == quoted
     assert response.may_be_spliced
+
+
+def test_a_long_line_of_status_lines_takes_little_time():
+    # Each status line was searched to the end of the line.
+    body = b"HTTP/1.1 200 " * 80_000 + b"\r\n "
+    started_cpu_s = time.process_time()
+    assert not http1.Response(200, [], body).may_be_spliced
+    assert http1.Response(200, [], body + body[:30] + b"\r\nx").may_be_spliced
+    assert time.process_time() - started_cpu_s < 1
+    started_cpu_s = time.process_time()
+    assert not http1.Response(200, [], body).may_be_spliced
+    assert http1.Response(200, [], body + body[:30] + b"\r\nx").may_be_spliced
+    assert time.process_time() - started_cpu_s < 1
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.sampled_from(
+            [b"HTTP/1.1 200 ", b"HTTP/1.0 200\r", b"\r\n", b"\r", b"\n"]
+            + [b"x:", b" ", b"a", b":"]
+        ),
+        max_size=12,
+    ).map(b"".join)
+)
+def test_a_response_within_a_body_is_found_as_by_one_search(body):
+    found = http1._RESPONSE_START.search(body) is not None
+    assert http1.Response(200, [], body).may_be_spliced == found
