Cut long parts of an answer down to the records that can be in it

What callers saw: with parts of 16 MB of 12 shards a daemon of 300 MB took over 1,500 MB; parts wait for the slowest shard, and nothing counted them.

Cause: each reply was kept whole until the answer was due, and merged or pruned as a list of all its records, 65 bytes for each 16.

Large failure responses, which are kept for the case that no searcher answers, count and are dropped first.

The rest of the request's replies is in the account of memory and released however the request ends.

--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -232,6 +232,7 @@
             self._rng,
             member_count,
             self._log,
+            self._account,
         )
         self._pool = links.HttpPool(
             self._adapter.make_searcher_codec(self._on_unreadable_header),
--- a/citrondoor/entry/_answers.py
+++ b/citrondoor/entry/_answers.py
@@ -6,6 +6,7 @@
 from citrondoor import fanout
 from citrondoor import refusals
 from citrondoor import routes
+from citrondoor.codecs import http1
 from citrondoor.entry import _messages
 from citrondoor.entry import _running
 from citrondoor.schema import messages
@@ -47,6 +48,18 @@
     return target.top
 
 
+@functools.singledispatch
+def trim_response(target, response: http1.Response) -> http1.Response:
+    """Returns what an answer needs of a response that waits for others."""
+    return response
+
+
+@trim_response.register
+def _(target: routes.ScatterTarget, response: http1.Response) -> http1.Response:
+    body = fanout.trim_records(response.body, target.top)
+    return http1.Response(response.status, [], body)
+
+
 @functools.singledispatch
 def compose_answer(
     target, running: _running.RunningRequest, status: fanout.FanoutStatus
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -7,6 +7,7 @@
 
 from citrondoor import clock as clocks
 from citrondoor import fanout
+from citrondoor import limits
 from citrondoor import links
 from citrondoor import refusals
 from citrondoor import routes
@@ -88,9 +89,11 @@
       member_count: Initial number of daemons that share the cluster-wide
         limits.
       log: Log of decisions.
+      account: Account of the memory that messages keep.
     """
 
     __slots__ = (
+        "_account",
         "_clock",
         "_elapsed_estimator",
         "_hedge_retry_limiter",
@@ -121,7 +124,9 @@
         rng: random.Random,
         member_count: int,
         log: _decision_log.DecisionLog,
+        account: limits.MemoryAccount,
     ):
+        self._account = account
         self._view = view
         self._zone = settings.zone
         self._clock = clock
@@ -378,6 +383,17 @@
         running = self._prepare(
             request, route, backends, self._shutdown.limit(deadline_at)
         )
+        try:
+            return await self._answer(running, request, disconnected)
+        finally:
+            running.release()
+
+    async def _answer(
+        self,
+        running: _running.RunningRequest,
+        request: _messages.CallerRequest,
+        disconnected: asyncio.Future,
+    ) -> _messages.Answer | None:
         self._running.add(running)
         try:
             status = await self._run_fanout(running, disconnected)
@@ -393,7 +409,7 @@
             # Sends that had waited for a connection ended as they were
             # cancelled; without others, the request has not run.
             status = running.fanout.status(self._clock.now())
-        answer = _answers.compose_answer(route.target, running, status)
+        answer = _answers.compose_answer(running.route.target, running, status)
         self._record_outcome(request, running, status)
         return answer
 
@@ -449,7 +465,9 @@
             deadline_at,
             route.is_idempotent,
         )
-        running = _running.RunningRequest(route, options, outbound)
+        running = _running.RunningRequest(
+            route, options, outbound, self._account
+        )
         running.fanout = fanout.Fanout(
             backends,
             options,
@@ -643,9 +661,12 @@
                 state.record_not_run(token)
             return
         if reply.outcome == links.ExchangeOutcome.ANSWERED:
-            running.replies.setdefault(send.group, reply)
+            reply.response = _answers.trim_response(
+                running.route.target, reply.response
+            )
+            running.add_reply(send.group, reply)
         elif reply.outcome == links.ExchangeOutcome.FAILED:
-            running.last_failure = reply
+            running.set_failure(reply)
         self._submit(running, state.on_send_done(token, outcome, now))
         is_decided = state.status(now) != fanout.FanoutStatus.PENDING
         if is_decided or state.next_timer_at() < running.next_wakeup_at:
--- a/citrondoor/fanout/__init__.py
+++ b/citrondoor/fanout/__init__.py
@@ -16,6 +16,7 @@
 from citrondoor.fanout._latency import RouteLatencies
 from citrondoor.fanout._pruning import Pruner
 from citrondoor.fanout._records import merge_top_records
+from citrondoor.fanout._records import trim_records
 from citrondoor.fanout._replicas import ReplicaBalancer
 from citrondoor.fanout._replicas import ReplicaState
 from citrondoor.fanout._stated_rates import StatedRateLimiter
@@ -38,4 +39,5 @@
     "WarmupRateLimiter",
     "merge_top_records",
     "remaining_target_ms",
+    "trim_records",
 ]
--- a/citrondoor/fanout/_pruning.py
+++ b/citrondoor/fanout/_pruning.py
@@ -23,7 +23,7 @@
 
     def prune(self, body: bytes) -> bytes:
         """Returns the records of a shard that may be in the answer."""
-        records = _records.split_records(body)
+        records = _records.split_records(_records.trim_records(body, self._top))
         is_full = len(self._top_records) >= self._top
         smallest = (
             self._top_records[-1] if is_full and self._top_records else b""
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -6,6 +6,7 @@
 from citrondoor import clock as clocks
 from citrondoor import entry
 from citrondoor import fanout
+from citrondoor import limits
 from citrondoor import links
 from citrondoor.codecs import http1
 from citrondoor.schema import messages
@@ -107,8 +108,15 @@
             0,
         )
         self.pool = FakePool(respond)
+        self.account = limits.MemoryAccount(100_000_000)
         self.dispatcher = entry.Dispatcher(
-            SETTINGS, self.view, clocks.Clock(), random.Random(1), 1, self.log
+            SETTINGS,
+            self.view,
+            clocks.Clock(),
+            random.Random(1),
+            1,
+            self.log,
+            self.account,
         )
         self.dispatcher.set_pool(self.pool)
 
@@ -774,3 +782,46 @@
         assert answer.kind == messages.RefusalKind.UNAVAILABLE
         assert answer.ran == messages.Ran.NO
         assert not harness.pool.waiting
+
+
+def test_large_parts_are_cut_down_while_they_wait_for_others():
+    # 4 parts of 16 MB each waited for the slowest of them.
+    body = b"".join(b"%016d" % n for n in range(10_000))
+    harness = Harness(
+        lambda upstream, outbound: (
+            0.05 if upstream.backend == SHARDS[0] else 0,
+            answered(upstream, body),
+        ),
+        [SCATTER_ROUTE],
+        REPLICAS,
+    )
+    answer = harness.serve(make_request())
+    top = SCATTER_ROUTE.top
+    assert answer.missing_count == 0
+    assert (
+        answer.body
+        == b"".join(b"%016d" % n for n in range(9999, -1, -1) for _ in SHARDS)[
+            : 16 * top
+        ]
+    )
+    assert harness.account.peak_bytes < len(body)
+    assert harness.account.kept_bytes == 0
+
+
+def test_a_large_failure_that_waits_for_a_retry_counts_and_may_be_dropped():
+    failure = links.ExchangeResult(
+        OUTCOME.FAILED, http1.Response(500, [], b"a" * 99_000), b"s"
+    )
+    harness = Harness(
+        lambda upstream, outbound: (0, failure),
+        [samples.route(backends=[serving.WeightedBackend(SHARDS[0], 1.0)])],
+        REPLICAS,
+    )
+    answer = harness.serve(make_request("/a/x"))
+    assert answer.response is failure.response
+    assert harness.account.peak_bytes > 99_000
+    assert harness.account.kept_bytes == 0
+    harness.dispatcher._account = limits.MemoryAccount(99_000)
+    answer = harness.serve(make_request("/a/x"))
+    assert isinstance(answer, messages.Refusal)
+    assert harness.dispatcher._account.kept_bytes == 0
