Return the memory of large messages to the system; one buffer for each body

Cause: glibc raises its threshold for mapped allocations to the largest one freed, so bodies come from the heap, and what is freed there below anything in use stays. And the parts of a body were copied into one when it was complete, both in the heap.

A body is one `bytearray` that grows, and `mallopt` sets fixed thresholds: above 512 KB an allocation is mapped, so that it grows without a copy and is unmapped when freed. Another C library keeps its ways.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -47,11 +47,6 @@
 _HEADER_SEPARATOR_BYTES = 2
 # Memory of the other objects of a message.
 _MESSAGE_OBJECT_BYTES = 512
-# Parts of a body from this size on are kept as they are; smaller ones are put
-# together to blocks of up to `_BLOCK_BYTES`.
-_MIN_PART_BYTES = 16_384
-_BLOCK_BYTES = 65_536
-_BLOCK_OBJECT_BYTES = 128
 # A `bytearray` that grows reserves an eighth more than it holds.
 _RESERVED_SHARE = 0.125
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
@@ -402,7 +397,7 @@
     """
 
     __slots__ = (
-        "_blocks",
+        "_body",
         "_body_bytes",
         "_error",
         "_has_length",
@@ -434,7 +429,8 @@
         self._headers: Headers = []
         # Of the headers, trailers included.
         self._head_bytes = 0
-        self._blocks: list[bytes | bytearray] = []
+        # One object, however many parts arrive; the first part as it is.
+        self._body: bytes | bytearray = b""
         self._body_bytes = 0
         self._metered_body_bytes = 0
         self._has_length = False
@@ -459,7 +455,6 @@
         return (
             _MESSAGE_OBJECT_BYTES
             + int(self._body_bytes * (1 + _RESERVED_SHARE))
-            + len(self._blocks) * _BLOCK_OBJECT_BYTES
             + self._head_bytes
             + len(self._headers) * _HEADER_OBJECT_BYTES
             # The parser holds a part of a header.
@@ -529,7 +524,7 @@
         """
         if not self._status or self._is_self_delimited:
             return None
-        response = Response(self._status, self._headers, b"".join(self._blocks))
+        response = Response(self._status, self._headers, bytes(self._body))
         self._status = 0
         self._reset()
         self._meter.reset()
@@ -578,15 +573,12 @@
         self._body_bytes += size
         if self._body_bytes > self._max_body_bytes:
             self._reject_body()
-        blocks = self._blocks
-        if size >= _MIN_PART_BYTES or not blocks:
-            blocks.append(data)
+        if not self._body:
+            self._body = data
             return
-        block = blocks[-1]
-        if type(block) is bytearray and len(block) < _BLOCK_BYTES:
-            block += data
-        else:
-            blocks.append(bytearray(data))
+        if type(self._body) is bytes:
+            self._body = bytearray(self._body)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Ends a response; called by the parser."""
@@ -594,7 +586,7 @@
             if len(self._responses) >= MAX_RESPONSES_AT_ONCE:
                 self._reject(f"over {MAX_RESPONSES_AT_ONCE} responses at once")
             self._responses.append(
-                Response(self._status, self._headers, b"".join(self._blocks))
+                Response(self._status, self._headers, bytes(self._body))
             )
             self._meter.reset()
         self._status = 0
@@ -604,7 +596,7 @@
         self._is_in_response = False
         self._headers = []
         self._head_bytes = 0
-        self._blocks = []
+        self._body = b""
         self._body_bytes = 0
         self._metered_body_bytes = 0
         self._has_length = False
--- a/citrondoor/daemon/command.py
+++ b/citrondoor/daemon/command.py
@@ -11,6 +11,7 @@
 from citrondoor import clock as clocks
 from citrondoor import errors
 from citrondoor import gc_tuning
+from citrondoor import malloc_tuning
 from citrondoor import telemetry
 from citrondoor.daemon import _assembly
 from citrondoor.daemon import _settings
@@ -56,6 +57,7 @@
     """
     telemetry.configure_logs()
     gc_tuning.tune()
+    malloc_tuning.tune()
     try:
         return asyncio.run(_run(settings, rng, connector))
     except Exception as error:
--- a/citrondoor/platform/_command.py
+++ b/citrondoor/platform/_command.py
@@ -12,6 +12,7 @@
 from citrondoor import entry
 from citrondoor import errors
 from citrondoor import gc_tuning
+from citrondoor import malloc_tuning
 from citrondoor import signals
 from citrondoor.daemon import endings
 from citrondoor.daemon import entry_daemon
@@ -84,6 +85,7 @@
         settings, unknown_settings = _read_settings(path)
         vm = settings.vm
         gc_tuning.tune()
+        malloc_tuning.tune()
         return asyncio.run(_run_daemon(path, settings, unknown_settings))
     except errors.DocumentError as error:
         signal_name = signals.pending_end()
--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -1,4 +1,5 @@
 import contextlib
+import gc
 import time
 import tracemalloc
 
@@ -437,3 +438,27 @@
 def test_a_response_within_a_body_is_found_as_by_one_search(body):
     found = http1._RESPONSE_START.search(body) is not None
     assert http1.Response(200, [], body).may_be_spliced == found
+
+
+@pytest.mark.parametrize(
+    "end", [b"\r\nrubbish" * 9, b"\r\n0\r\nx: HTTP/1.1 200 OK\r\n\r\n"]
+)
+def test_a_refused_response_does_not_stay_until_garbage_is_collected(end):
+    # The parser and its reader refer to each other.
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        before_bytes, _ = tracemalloc.get_traced_memory()
+        for _ in range(20):
+            reader = http1.ResponseReader()
+            data = CHUNKED + b"8000\r\n" + bytes(32_768) + end
+            with pytest.raises(http1.ProtocolError):
+                reader.feed(data)
+            reader.drop()
+        del data, reader
+        kept_bytes = tracemalloc.get_traced_memory()[0] - before_bytes
+        assert kept_bytes < PIECE
+    finally:
+        tracemalloc.stop()
+        gc.enable()
