Read 32 KB of a searcher at a time, so that none holds up the others

What callers saw: while 40 connections got chunks of 1 byte without end, sound requests of the same daemon took up to 4.3 s (trial on a busy machine).

Cause: asyncio reads up to 256 KB from each connection in one turn of the event loop. That is 20 to 30 ms of processor time in such chunks, times 40 connections.

Evidence: test_a_searcher_is_read_in_small_parts failed with `assert 262144 <= 32768`.

With 32 KB one turn takes an eighth of it. Ordinary responses are smaller.

--- a/citrondoor/links/_connection.py
+++ b/citrondoor/links/_connection.py
@@ -13,6 +13,9 @@
 # What a connection keeps counts in the account of memory from this size on;
 # ordinary messages take less.
 MIN_RECORDED_BYTES = 4096
+# Bytes that are read at a time. The event loop reads from every connection in
+# turn, and a searcher in trouble may make each byte expensive to parse.
+MAX_READ_BYTES = 32_768
 
 
 class Link(typing.Protocol):
@@ -76,6 +79,7 @@
     def connection_made(self, transport) -> None:
         """Stores the open transport; called by the event loop."""
         self.transport = transport
+        transport.max_size = MAX_READ_BYTES
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; called by the event loop."""
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -41,6 +41,9 @@
 # What a connection keeps counts in the account of memory from this size on;
 # ordinary messages take less.
 MIN_RECORDED_BYTES = 4096
+# Bytes that are read at a time. The event loop reads from every connection in
+# turn, and a searcher in trouble may make each byte expensive to parse.
+MAX_READ_BYTES = 32_768
 # A connection whose sent bytes are not acknowledged for this long is closed.
 TCP_USER_TIMEOUT_MS = 3000
 
@@ -119,6 +122,7 @@
     def connection_made(self, transport) -> None:
         """Stores the open transport; called by the event loop."""
         self.transport = transport
+        transport.max_size = MAX_READ_BYTES
         transport.get_extra_info("socket").setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -991,3 +991,24 @@
         stalled.set()
 
     run_and_close(body())
+
+
+def test_a_searcher_is_read_in_small_parts(monkeypatch):
+    # 40 searchers' chunks of 1 byte held up the event loop for 1.2 s at a time.
+    sizes = []
+    feed = http1.ResponseReader.feed
+
+    def record_size(reader, data):
+        sizes.append(len(data))
+        return feed(reader, data)
+
+    monkeypatch.setattr(http1.ResponseReader, "feed", record_size)
+
+    async def behave(request, writer):
+        writer.write(encode_answer(request, b"x" * 2_000_000))
+
+    async def body(harness):
+        assert (await harness.send(1)).outcome == OUTCOME.ANSWERED
+
+    run(behave, body)
+    assert max(sizes) <= 32_768
