Bound what answers of the platform keep; deep JSON does not end reads

What callers saw: nothing from a daemon whose store is in trouble, because the process was over its memory, or had ended. Each failed read kept up to 16 MB until the next garbage collection, four reads overlap at the start, and a page of `[]` took 24 times its bytes decoded. A value or a revision with 1,000 nested lists raised a RecursionError while its report was written; 20 of them in 10 s end the daemon.

"_store.py:173: RecursionError: maximum recursion depth exceeded while getting the repr of an object"; "tests/links/test_json_client.py:90: assert False" (overlapping reads); "test_store.py: DID NOT RAISE PlatformError".

A response is limited by the bytes received, whatever its framing; a decoded body by an estimate that counts its values before it is decoded; what a read keeps is in the account, gives way, and fails as a read that is tried again. Texts of errors show a short, shallow part of the value.

--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -91,13 +91,19 @@
 class Adapter(typing.Protocol):
     """Creates the clients, codecs and handlers for the platform."""
 
-    def make_store_client(self, settings: serving.StoreSettings, on_unreadable):
+    def make_store_client(
+        self,
+        settings: serving.StoreSettings,
+        on_unreadable,
+        account: limits.MemoryAccount,
+    ):
         """Returns a client of the platform's store.
 
         Args:
           settings: Settings of the store.
           on_unreadable: Called with the key, revision and reason of each value
             that can't be decoded.
+          account: Where the memory of reads in progress is recorded.
         """
 
     def make_searcher_codec(self, on_unreadable) -> links.SearcherCodec:
@@ -212,7 +218,7 @@
             settings, self._incarnation, self._view, self._clock, self._log
         )
         self._store = self._adapter.make_store_client(
-            settings.store, self._on_unreadable
+            settings.store, self._on_unreadable, self._account
         )
         self._poller = entry.StorePoller(
             self._view,
--- a/citrondoor/links/_json_client.py
+++ b/citrondoor/links/_json_client.py
@@ -6,17 +6,25 @@
 """
 
 import asyncio
+import functools
 import http
+import sys
 import urllib.parse
 
-import orjson
-
 from citrondoor import addresses
 from citrondoor import clock as clocks
 from citrondoor import errors
+from citrondoor import limits
+from citrondoor.codecs import bounded_json
 from citrondoor.codecs import http1
+from citrondoor.schema import serving
 
-READ_CHUNK_BYTES = 262_144
+READ_CHUNK_BYTES = 65_536
+# Limits on a response: bytes received, whatever its framing, and the estimated
+# memory of its decoded body. A page of the store has about 1 MB of items, and a
+# configuration of 1 MB may be one of them.
+MAX_RESPONSE_BYTES = 8_388_608
+MAX_DECODED_BYTES = 33_554_432
 
 
 class JsonClient:
@@ -26,11 +34,26 @@
       url: Scheme, host and port.
       timeout_ms: Time limit for connecting and reading the response.
       setting: Name of the setting that error messages tell operators to check.
+      account: Where the memory of partial responses is recorded; None leaves
+        them to the limits of each response.
     """
 
-    __slots__ = ("_address", "_setting", "_timeout_ms", "read_count")
+    __slots__ = (
+        "_account",
+        "_address",
+        "_setting",
+        "_timeout_ms",
+        "read_count",
+    )
 
-    def __init__(self, url: str, timeout_ms: int, setting: str):
+    def __init__(
+        self,
+        url: str,
+        timeout_ms: int,
+        setting: str,
+        account: limits.MemoryAccount | None = None,
+    ):
+        self._account = account or limits.MemoryAccount(sys.maxsize)
         self._address = addresses.split_address(
             urllib.parse.urlsplit(url).netloc
         )
@@ -63,9 +86,9 @@
         if response.status != http.HTTPStatus.OK:
             raise self.make_error(f"status {response.status}")
         try:
-            return orjson.loads(response.body)
-        except orjson.JSONDecodeError as error:
-            raise self.make_error("the body is not valid JSON") from error
+            return bounded_json.decode(response.body, MAX_DECODED_BYTES)
+        except ValueError as error:
+            raise self.make_error(f"the body is unusable: {error}") from error
 
     def make_error(self, problem: str) -> errors.PlatformError:
         """Returns the error for a failed request or an unusable response."""
@@ -77,17 +100,36 @@
 
     async def _exchange(self, target: bytes) -> http1.Response:
         reader, writer = await asyncio.open_connection(*self._address)
+        holder = self._account.open(
+            serving.Sender.STORE,
+            functools.partial(
+                reader.set_exception,
+                http1.ProtocolError(
+                    502,
+                    "the messages of all senders need too much memory, and the"
+                    " response the most",
+                ),
+            ),
+        )
+        received_bytes = 0
         try:
             host = "{}:{}".format(*self._address).encode()
             headers = [(b"host", host), (b"connection", b"close")]
             writer.write(http1.encode_request(b"GET", target, headers, b""))
-            parser = http1.ResponseReader()
+            parser = http1.ResponseReader(MAX_RESPONSE_BYTES)
             while data := await reader.read(READ_CHUNK_BYTES):
+                received_bytes += len(data)
+                if received_bytes > MAX_RESPONSE_BYTES:
+                    raise http1.ProtocolError(
+                        502, f"a response over {MAX_RESPONSE_BYTES} bytes"
+                    )
                 for response in parser.feed(data):
                     return response
+                holder.record(parser.held_bytes)
             response = parser.finish()
             if response is None:
                 raise EOFError("connection closed before a complete response")
             return response
         finally:
+            holder.release()
             writer.transport.abort()
--- a/citrondoor/platform/_store.py
+++ b/citrondoor/platform/_store.py
@@ -1,16 +1,16 @@
 """Reads the configuration, searchers and evacuated zones from the store."""
 
 import base64
-import binascii
 import ipaddress
 import re
+import reprlib
 import urllib.parse
 
-import orjson
-
 from citrondoor import clock as clocks
 from citrondoor import entry
+from citrondoor import limits
 from citrondoor import links
+from citrondoor.codecs import bounded_json
 from citrondoor.schema import serving
 
 # Store keys. A prefix is followed by the name of a zone or id of a searcher.
@@ -33,6 +33,15 @@
 # Maximum number of pages in one read, in case the store's listing never ends;
 # 63,000 searchers take 130 pages.
 _MAX_PAGES = 1000
+# Limit on the estimated memory of a decoded value.
+_MAX_DECODED_BYTES = 33_554_432
+# Part of the account that one read may keep, and the estimated memory of an
+# item beside its text.
+_MAX_READ_SHARE = 0.5
+_ITEM_BYTES = 512
+# Unreadable keys that are remembered; further ones are not reported.
+_MAX_REPORTED_KEYS = 1000
+_MAX_REPORTED_CHARACTERS = 256
 
 
 class StoreClient:
@@ -43,15 +52,29 @@
       on_unreadable: Called with the key, the revision and the reason if a value
         cannot be decoded. Each searcher is reported once, the configuration
         once for each revision.
+      account: Where the memory of reads in progress is recorded.
     """
 
-    __slots__ = ("_client", "_newest_routes", "_on_unreadable", "_reported")
+    __slots__ = (
+        "_account",
+        "_client",
+        "_newest_routes",
+        "_on_unreadable",
+        "_reported",
+    )
 
-    def __init__(self, settings: serving.StoreSettings, on_unreadable):
+    def __init__(
+        self,
+        settings: serving.StoreSettings,
+        on_unreadable,
+        account: limits.MemoryAccount,
+    ):
+        self._account = account
         self._client = links.JsonClient(
             f"http://{settings.address}",
             settings.timeout_ms,
             "`store.address`",
+            account,
         )
         self._on_unreadable = on_unreadable
         # Revision at which each unreadable key was last reported.
@@ -74,45 +97,63 @@
           errors.PlatformError: The store did not answer in time, or its answer
             could not be used.
         """
-        revision: int | None = None
-        after_key = ""
-        contents = entry.StoreContents(0, None, [], [])
-        for _ in range(_MAX_PAGES):
-            query = {"prefix": ""}
-            if after_key:
-                query["after"] = after_key
-            path = f"/-/kv-range?{urllib.parse.urlencode(query)}"
-            page = await self._client.get(path)
-            try:
-                items = page["items"]
-                if revision is None:
-                    revision = int(page["store-revision"])
-                for item in items:
-                    self._add_item(item, contents)
-                is_truncated = bool(page.get("truncated"))
-                last_key = items[-1]["key"] if items else ""
-                if is_truncated and last_key <= after_key:
-                    raise ValueError(
-                        f"the page after {after_key!r} ends at {last_key!r} and"
-                        " is not the last one"
-                    )
-                after_key = last_key
-            except (AttributeError, KeyError, TypeError, ValueError) as error:
-                raise self._client.make_error(
-                    f"an unreadable listing ({type(error).__name__}: {error})"
-                ) from error
-            if not is_truncated:
-                break
-        else:
-            # Searchers that are missing in a part would be taken for gone.
+        reading = _Reading(self._account)
+        try:
+            for _ in range(_MAX_PAGES):
+                # Not in a variable: the next page would be kept beside it.
+                self._add_page(await self._get_page(reading), reading)
+                if not reading.is_truncated:
+                    return reading.contents
+        finally:
+            reading.holder.release()
+        # Searchers that are missing in a part would be taken for gone.
+        raise self._client.make_error(
+            f"a listing of more than {_MAX_PAGES} pages"
+        )
+
+    async def _get_page(self, reading: "_Reading") -> dict:
+        query = {"prefix": ""}
+        if reading.after_key:
+            query["after"] = reading.after_key
+        return await self._client.get(
+            f"/-/kv-range?{urllib.parse.urlencode(query)}"
+        )
+
+    def _add_page(self, page: dict, reading: "_Reading") -> None:
+        """Adds the items of a page to a read.
+
+        Raises:
+          errors.PlatformError: The page is unreadable, or the read keeps too
+            much memory.
+        """
+        try:
+            items = page["items"]
+            if not reading.after_key:
+                reading.contents.revision = _revision(page["store-revision"])
+            for item in items:
+                self._add_item(item, reading)
+            reading.is_truncated = bool(page.get("truncated"))
+            last_key = items[-1]["key"] if items else ""
+            if reading.is_truncated and last_key <= reading.after_key:
+                raise ValueError(
+                    f"the page after {reprlib.repr(reading.after_key)} ends at"
+                    f" {reprlib.repr(last_key)} and is not the last one"
+                )
+            reading.after_key = last_key
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            raise self._client.make_error(
+                f"an unreadable listing ({type(error).__name__}: {error})"
+            ) from error
+        reading.holder.record(reading.kept_bytes)
+        if reading.has_given_way or reading.kept_bytes > reading.max_bytes:
             raise self._client.make_error(
-                f"a listing of more than {_MAX_PAGES} pages"
+                f"a listing that keeps {reading.kept_bytes} bytes, of"
+                f" {reading.max_bytes} allowed, while other messages are kept"
             )
-        contents.revision = revision
-        return contents
 
-    def _add_item(self, item: dict, contents: entry.StoreContents) -> None:
+    def _add_item(self, item: dict, reading: "_Reading") -> None:
         key = item["key"]
+        contents = reading.contents
         if key.startswith(_SEARCHER_PREFIX):
             try:
                 upstream = decode_upstream(
@@ -122,10 +163,12 @@
                 self._report_unreadable(item, error)
                 return
             contents.upstreams.append(upstream)
+            reading.kept_bytes += _ITEM_BYTES + len(item["value"])
         elif key.startswith(_EVACUATION_PREFIX):
             contents.evacuated_zones.append(
                 key.removeprefix(_EVACUATION_PREFIX)
             )
+            reading.kept_bytes += _ITEM_BYTES + len(key)
         elif key == _CONFIG_KEY:
             contents.routes = self._decode_routes(item)
 
@@ -145,19 +188,63 @@
         return decoded
 
     def _report_unreadable(self, item: dict, error: Exception) -> None:
-        key, revision = item["key"], item["rev"]
-        if key not in self._reported or key == _CONFIG_KEY:
-            if self._reported.get(key) != revision:
-                self._on_unreadable(
-                    key, revision, f"{type(error).__name__}: {error}"
-                )
-            self._reported[key] = revision
+        key = item["key"][:_MAX_REPORTED_CHARACTERS]
+        revision = item["rev"]
+        if key not in self._reported:
+            if len(self._reported) >= _MAX_REPORTED_KEYS:
+                return
+        elif key != _CONFIG_KEY or self._reported[key] == revision:
+            return
+        self._reported[key] = revision
+        reason = f"{type(error).__name__}: {error}"
+        self._on_unreadable(key, revision, reason[:_MAX_REPORTED_CHARACTERS])
+
+
+class _Reading:
+    """State of one read of the store.
+
+    Args:
+      account: Where what it keeps is recorded.
+
+    Attributes:
+      after_key: Last key of the last page.
+      contents: Contents of the pages read so far.
+      has_given_way: Whether the account chose it to be dropped.
+      holder: Its holder in the account.
+      is_truncated: Whether there are further pages.
+      kept_bytes: Estimate of the memory that `contents` keeps.
+      max_bytes: Limit on `kept_bytes`.
+    """
+
+    __slots__ = (
+        "after_key",
+        "contents",
+        "has_given_way",
+        "holder",
+        "is_truncated",
+        "kept_bytes",
+        "max_bytes",
+    )
+
+    def __init__(self, account: limits.MemoryAccount):
+        self.after_key = ""
+        self.contents = entry.StoreContents(0, None, [], [])
+        self.has_given_way = False
+        self.holder = account.open(serving.Sender.STORE, self._give_way)
+        self.is_truncated = True
+        self.kept_bytes = 0
+        self.max_bytes = int(account.max_bytes * _MAX_READ_SHARE)
+
+    def _give_way(self) -> None:
+        self.has_given_way = True
 
 
 def _decode_value(item: dict) -> dict:
     try:
-        value = orjson.loads(base64.b64decode(item["value"], validate=True))
-    except (binascii.Error, orjson.JSONDecodeError) as error:
+        value = bounded_json.decode(
+            base64.b64decode(item["value"], validate=True), _MAX_DECODED_BYTES
+        )
+    except ValueError as error:
         raise ValueError(
             f"the value is not base64-encoded JSON: {error}"
         ) from error
@@ -168,16 +255,25 @@
     return value
 
 
+def _revision(value) -> int:
+    revision = int(value)
+    if not 0 <= revision <= _MAX_I64:
+        raise ValueError(f"the revision is {reprlib.repr(value)}")
+    return revision
+
+
 def _mapping(value, what: str) -> dict:
     if not isinstance(value, dict):
-        raise TypeError(f"{what} is {value!r}, not an object")
+        raise TypeError(f"{what} is {reprlib.repr(value)}, not an object")
     return value
 
 
 def _text(value: dict, name: str) -> str:
     text = value[name]
     if not isinstance(text, str) or not text:
-        raise TypeError(f"{name} is {text!r}, not a non-empty string")
+        raise TypeError(
+            f"{name} is {reprlib.repr(text)}, not a non-empty string"
+        )
     return text
 
 
@@ -186,7 +282,9 @@
     if not isinstance(texts, list) or not all(
         isinstance(text, str) for text in texts
     ):
-        raise TypeError(f"{name} is {texts!r}, not a list of strings")
+        raise TypeError(
+            f"{name} is {reprlib.repr(texts)}, not a list of strings"
+        )
     return texts
 
 
@@ -198,9 +296,11 @@
 ) -> float:
     number = value[name] if default is None else value.get(name, default)
     if isinstance(number, bool) or not isinstance(number, int | float):
-        raise TypeError(f"{name} is {number!r}, not a number")
+        raise TypeError(f"{name} is {reprlib.repr(number)}, not a number")
     if not -limit <= number <= limit:
-        raise ValueError(f"{name} is {number!r}, not a number within {limit}")
+        raise ValueError(
+            f"{name} is {reprlib.repr(number)}, not a number within {limit}"
+        )
     return number
 
 
@@ -212,7 +312,9 @@
 ) -> int:
     number = _number(value, name, default, limit)
     if not isinstance(number, int) or number < 0:
-        raise TypeError(f"{name} is {number!r}, not a non-negative integer")
+        raise TypeError(
+            f"{name} is {reprlib.repr(number)}, not a non-negative integer"
+        )
     return number
 
 
@@ -229,13 +331,19 @@
       ValueError: A field has a value that is not allowed.
     """
     if not _UPSTREAM_ID.fullmatch(upstream_id):
-        raise ValueError(f"the id {upstream_id!r} is not printable ASCII")
+        raise ValueError(
+            f"the id {reprlib.repr(upstream_id)} is not printable ASCII"
+        )
     host, _, port = _text(value, "address").rpartition(":")
     state = _text(value, "state")
     if state not in _UPSTREAM_STATES:
-        raise ValueError(f"state is {state!r}, not ready or draining")
+        raise ValueError(
+            f"state is {reprlib.repr(state)}, not ready or draining"
+        )
     if not _is_ip_address(host) or not 0 < int(port) < 65536:
-        raise ValueError(f"address is {value['address']!r}, not IP:PORT")
+        raise ValueError(
+            f"address is {reprlib.repr(value['address'])}, not IP:PORT"
+        )
     capacity = _non_negative_int(value, "capacity")
     # Required and checked, but not used.
     _non_negative_int(value, "seq", limit=_MAX_I64)
@@ -295,11 +403,14 @@
         backends = [serving.WeightedBackend(_text(route, "service"), 1.0)]
     if bool(shards) == bool(backends):
         raise ValueError(
-            f"route {route.get('name')!r} needs either shards or back ends"
+            f"route {reprlib.repr(route.get('name'))} needs either shards or"
+            " back ends"
         )
     kind = _text(route, "kind")
     if kind not in _ROUTE_KINDS:
-        raise ValueError(f"kind is {kind!r}, not idempotent or non_idempotent")
+        raise ValueError(
+            f"kind is {reprlib.repr(kind)}, not idempotent or non_idempotent"
+        )
     timeout_ms = int(_number(route, "timeout-ms"))
     return serving.Route(
         _text(route, "name"),
--- /dev/null
+++ b/tests/links/test_json_client.py
@@ -0,0 +1,106 @@
+import asyncio
+import contextlib
+import tracemalloc
+
+import pytest
+
+from citrondoor import errors
+from citrondoor import limits
+from citrondoor import links
+from citrondoor.links import _json_client
+from citrondoor.schema import serving
+
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+# What a response begins with, and what follows without end.
+ENDLESS = {
+    "tiny chunks": (CHUNKED, b"1\r\n \r\n" * 10_000),
+    "chunks": (CHUNKED, b"8000\r\n" + b" " * 32_768 + b"\r\n"),
+    "body without a length": (b"HTTP/1.1 200 OK\r\n\r\n", b" " * 65_536),
+    "head": (b"HTTP/1.1 200 OK\r\nx-a: ", b"a" * 65_536),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"a:\r\n" * 16_384),
+}
+
+
+@contextlib.asynccontextmanager
+async def serve(first: bytes, following: bytes, times: int):
+    """Yields the port of a server that answers so, and then closes."""
+    tasks = set()
+
+    async def respond(reader, writer):
+        tasks.add(asyncio.current_task())
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(first)
+            for _ in range(times):
+                writer.write(following)
+                await writer.drain()
+            await reader.read()
+        except OSError:
+            pass
+        finally:
+            writer.transport.abort()
+
+    server = await asyncio.start_server(respond, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        # The loop closes the aborted transports in its next step.
+        await asyncio.sleep(0.01)
+
+
+def make_client(port, account=None):
+    return links.JsonClient(
+        f"http://127.0.0.1:{port}", 10_000, "`store.address`", account
+    )
+
+
+@pytest.mark.parametrize("name", ENDLESS)
+def test_a_response_without_end_fails_whatever_its_framing(name):
+    async def body():
+        account = limits.MemoryAccount(2**30)
+        async with serve(*ENDLESS[name], 10_000) as port:
+            tracemalloc.start()
+            with pytest.raises(errors.PlatformError, match=r"over \d+ bytes"):
+                await make_client(port, account).get("/")
+            _, peak_bytes = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+        return account.kept_bytes, peak_bytes
+
+    kept_bytes, peak_bytes = asyncio.run(body())
+    assert kept_bytes == 0
+    assert peak_bytes < 100_000_000
+
+
+def test_overlapping_responses_give_way_to_the_limit_of_all_messages():
+    async def body():
+        account = limits.MemoryAccount(2_000_000)
+        async with serve(*ENDLESS["body without a length"], 10_000) as port:
+            client = make_client(port, account)
+            results = await asyncio.gather(
+                *(client.get("/") for _ in range(4)), return_exceptions=True
+            )
+        return account, results
+
+    account, results = asyncio.run(body())
+    assert all(isinstance(r, errors.PlatformError) for r in results)
+    assert any("too much memory" in str(r) for r in results)
+    assert account.gave_way_counts[serving.Sender.STORE] > 0
+    assert account.kept_bytes == 0
+    assert account.peak_bytes < 3_000_000
+
+
+def test_json_that_is_large_once_decoded_fails():
+    data = b"[" + b"[]," * 500_000 + b"[]]"
+    head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(data)
+
+    async def body():
+        async with serve(head, data, 1) as port:
+            with pytest.raises(errors.PlatformError, match="bytes decoded"):
+                await make_client(port).get("/")
+
+    assert len(data) < _json_client.MAX_RESPONSE_BYTES
+    asyncio.run(body())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 
 from citrondoor import errors
+from citrondoor import limits
 from citrondoor import links
 from citrondoor.codecs import http1
 from citrondoor.codecs import peers
@@ -70,17 +71,19 @@
 
 
 class FakeStore:
-    """Fake store; lists two items a page.
+    """Fake store; lists two items a page unless told otherwise.
 
     Attributes:
+      page_items: Items of a page.
       status: HTTP status of its responses.
       body: Body of all responses; None sends the listing.
     """
 
-    def __init__(self, items):
+    def __init__(self, items, page_items=2, body=None):
         self.items = sorted(items, key=lambda entry: entry["key"])
+        self.page_items = page_items
         self.status = 200
-        self.body: bytes | None = None
+        self.body: bytes | None = body
 
     async def handle(self, request, disconnected):
         query = request.target.decode().partition("?")[2]
@@ -90,15 +93,15 @@
         after_key = after_key.replace("%2F", "/")
         remaining = [entry for entry in self.items if entry["key"] > after_key]
         page = {
-            "items": remaining[:2],
-            "truncated": len(remaining) > 2,
+            "items": remaining[: self.page_items],
+            "truncated": len(remaining) > self.page_items,
             "store-revision": 30,
         }
         body = self.body if self.body is not None else orjson.dumps(page)
         return http1.Response(self.status, [], body)
 
 
-def read(fake, times=1):
+def read(fake, times=1, account=None):
     async def body():
         server = links.HttpServer(fake)
         await server.start("127.0.0.1", 0)
@@ -106,6 +109,7 @@
         client = _store.StoreClient(
             serving.StoreSettings(f"127.0.0.1:{server.port}"),
             lambda key, revision, reason: unreadable.append(key),
+            account or limits.MemoryAccount(2**30),
         )
         try:
             for _ in range(times):
@@ -361,7 +365,9 @@
 
     async def body():
         client = _store.StoreClient(
-            serving.StoreSettings("127.0.0.1:1"), lambda *args: None
+            serving.StoreSettings("127.0.0.1:1"),
+            lambda *args: None,
+            limits.MemoryAccount(2**30),
         )
         client._client = paged = PagedClient()
         older = asyncio.create_task(client.read())
@@ -379,3 +385,57 @@
         assert (contents.revision, contents.routes.version) == (8, 8)
 
     asyncio.run(body())
+
+
+DEEP = b"[" * 1000 + b"]" * 1000
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        {"limits": "DEEP"},
+        CONFIG | {"routes": ["DEEP"]},
+        CONFIG | {"version": "DEEP"},
+        CONFIG | {"version": "x" * 1_000_000},
+    ],
+)
+def test_deep_or_long_json_is_reported_shortly_and_does_not_end_the_reads(
+    value,
+):
+    reasons = []
+
+    def report(key, revision, reason):
+        reasons.append(reason)
+
+    client = _store.StoreClient(
+        serving.StoreSettings("127.0.0.1:1"), report, limits.MemoryAccount(1000)
+    )
+    text = orjson.dumps(value).replace(b'"DEEP"', DEEP)
+    entry = item("op/config", {}, 3)
+    entry["value"] = base64.b64encode(text).decode()
+    assert client._decode_routes(entry) is None
+    assert len(reasons) == 1
+    assert len(reasons[0]) < 300
+
+
+def test_a_deep_listing_is_a_platform_error():
+    body = b'{"items": [], "store-revision": %b}' % (b"[" * 900 + b"]" * 900)
+    fake = FakeStore([], body=body)
+    with pytest.raises(errors.PlatformError, match="unreadable listing"):
+        read(fake)
+
+
+def test_unreadable_keys_are_remembered_and_reported_up_to_a_limit():
+    fake = FakeStore([item(f"servers/i-{n:04}", {}) for n in range(1500)], 500)
+    contents, unreadable = read(fake, times=2)
+    assert contents.upstreams == []
+    assert len(unreadable) == _store._MAX_REPORTED_KEYS
+
+
+def test_a_listing_that_keeps_too_much_memory_is_dropped():
+    items = [item(f"servers/i-{n:04}", REGISTRATION) for n in range(1500)]
+    account = limits.MemoryAccount(1_000_000)
+    with pytest.raises(errors.PlatformError, match="of 500000 allowed"):
+        read(FakeStore(items, 100), account=account)
+    assert account.kept_bytes == 0
+    assert account.peak_bytes > 400_000
