Bound what callers' requests and unread answers keep

What callers saw: the daemon ended over its memory while others held partial requests; nothing was added up over connections.

Cause: a body was a list of chunks, a head of 4-byte headers took 200 bytes for each of them, all requests of one read were parsed at once, an unread answer stayed until the idle timeout, and what a closed connection had received stayed until the next garbage collection, since the parser and its reader, and an error and its frames, refer to each other.

Before: "test_http1.py:356: Failed: DID NOT RAISE ProtocolError"; the tests of the server that hold bodies, pipeline and do not read end in TimeoutError.

Requests that have not begun are in the account of a connection and give way with a 503 that says when to retry; a request in progress never does; an unread answer does after 250 ms. New requests are refused while memory is short. A refusal is followed by an end of the answers and 300 ms of reading on, as a reset would lose it.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -50,6 +50,12 @@
 # A `bytearray` that grows reserves an eighth more than it holds.
 _RESERVED_SHARE = 0.125
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
+# Headers of a request, trailers included. Short ones take 50 times their bytes.
+MAX_REQUEST_HEADERS = 256
+# Memory of a request's header besides its bytes (two `bytes`, a tuple, a place
+# in a list), and of a request's other objects.
+_REQUEST_HEADER_BYTES = 200
+_REQUEST_BYTES = 1024
 # A status line. In a reason phrase or in the value of a header, it begins
 # another response.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}[ \r]")
@@ -120,6 +126,19 @@
         self.keeps_alive = keeps_alive
         self.round_trip_ms = 0
 
+    @property
+    def kept_bytes(self) -> int:
+        """Estimate of the memory of the request, in bytes."""
+        return (
+            _REQUEST_BYTES
+            + len(self.target)
+            + len(self.body)
+            + sum(
+                len(name) + len(value) + _REQUEST_HEADER_BYTES
+                for name, value in self.headers
+            )
+        )
+
     @property
     def path(self) -> str:
         """Path without the query."""
@@ -271,9 +290,9 @@
 
     __slots__ = (
         "_body",
-        "_body_bytes",
         "_error",
         "_head_bytes",
+        "_header_bytes",
         "_headers",
         "_max_bytes",
         "_meter",
@@ -298,13 +317,37 @@
     def _reset(self) -> None:
         self._target = b""
         self._headers: Headers = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        # Of the headers, or of the trailers.
+        self._header_bytes = 0
+        self._body = bytearray()
         self._head_bytes = 0
         self.is_in_head = False
         self.is_in_body = False
         self.expects_continue = False
 
+    @property
+    def kept_bytes(self) -> int:
+        """Estimate of the memory of the partly received request, in bytes."""
+        if not self.is_in_head and not self.is_in_body:
+            return 0
+        return (
+            _REQUEST_BYTES
+            + len(self._target)
+            # The parser holds a header until it is complete.
+            + self._head_bytes
+            + len(self._headers) * _REQUEST_HEADER_BYTES
+            + self._body.__sizeof__()
+        )
+
+    def drop(self) -> None:
+        """Drops all that was received; `feed` must not be called again."""
+        # The parser refers to this object, which the garbage collector finds
+        # late.
+        self._parser = None
+        self._error = None
+        self._requests = []
+        self._reset()
+
     def feed(self, data: bytes) -> list[Request]:
         """Parses bytes and returns the requests that they complete.
 
@@ -336,14 +379,22 @@
     def on_url(self, url: bytes) -> None:
         """Adds a part of the target; called by the parser."""
         self._target += url
+        if len(self._target) > self._max_bytes[0]:
+            self._reject(431, f"a target over {self._max_bytes[0]} bytes")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header; called by the parser."""
+        """Adds a header or trailer; called by the parser."""
+        self._header_bytes += len(name) + len(value) + 4
+        if self._header_bytes > self._max_bytes[0]:
+            self._reject(431, f"a head over {self._max_bytes[0]} bytes")
+        if len(self._headers) >= MAX_REQUEST_HEADERS:
+            self._reject(431, f"over {MAX_REQUEST_HEADERS} headers")
         self._headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
-        """Checks a complete head against the limits; called by the parser."""
+        """Reads how the body ends; called by the parser."""
         self._meter.reset()
+        self._header_bytes = 0
         self.is_in_head = False
         self.is_in_body = True
         length = 0
@@ -352,19 +403,15 @@
                 length = int(value)
             elif name == b"expect":
                 self.expects_continue = value.lower() == b"100-continue"
-        head_bytes = sum(len(n) + len(v) + 4 for n, v in self._headers)
-        if head_bytes > self._max_bytes[0]:
-            self._reject(431, f"a head over {self._max_bytes[0]} bytes")
         if length > self._max_bytes[1]:
             self._reject(413, f"a body over {self._max_bytes[1]} bytes")
 
     def on_body(self, data: bytes) -> None:
         """Adds a part of the body; called by the parser."""
         self._meter.record_body(len(data))
-        self._body_bytes += len(data)
-        if self._body_bytes > self._max_bytes[1]:
+        if len(self._body) + len(data) > self._max_bytes[1]:
             self._reject(413, f"a body over {self._max_bytes[1]} bytes")
-        self._body.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
         """Ends a request; called by the parser."""
@@ -373,7 +420,7 @@
                 self._parser.get_method(),
                 self._target,
                 self._headers,
-                b"".join(self._body),
+                bytes(self._body),
                 self._parser.should_keep_alive(),
             )
         )
--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -62,7 +62,9 @@
         self._account = account
         self._log = log
         self._metrics = None
-        self._server = links.HttpServer(self)
+        self._server = links.HttpServer(
+            self, lambda: links.SMALL_LIMITS, account=account
+        )
 
     async def start(
         self, poller: entry.StorePoller, peers: entry.PeerNetwork
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -114,7 +114,9 @@
             cannot be decoded and is ignored.
         """
 
-    def make_caller_handler(self, dispatcher, clock, on_bad_request, on_answer):
+    def make_caller_handler(
+        self, dispatcher, clock, on_bad_request, on_answer, account
+    ):
         """Returns the handler of callers' requests.
 
         Args:
@@ -122,6 +124,7 @@
           clock: Clock of the daemon.
           on_bad_request: Called with the refusal of a malformed request.
           on_answer: Called with the status and the latency in ms of an answer.
+          account: While it is short of memory, requests are refused.
         """
 
     def make_readiness_handler(self, is_ready):
@@ -279,17 +282,23 @@
                 self._clock,
                 self._on_bad_request,
                 self._metrics.record_answer,
+                self._account,
             ),
             self._caller_limits,
             self._on_request_error,
+            self._account,
         )
         self._readiness_server = links.HttpServer(
-            self._adapter.make_readiness_handler(lambda: self._is_ready)
+            self._adapter.make_readiness_handler(lambda: self._is_ready),
+            lambda: links.SMALL_LIMITS,
+            account=self._account,
         )
         self._directory_server = links.HttpServer(
             self._adapter.make_directory_handler(
                 self._choose_endpoints, self._settings.bounds.entries_ttl_s
-            )
+            ),
+            lambda: links.SMALL_LIMITS,
+            account=self._account,
         )
 
     @property
--- a/citrondoor/links/__init__.py
+++ b/citrondoor/links/__init__.py
@@ -8,6 +8,7 @@
 from citrondoor.links._exchanges import OutboundRequest
 from citrondoor.links._exchanges import SearcherCodec
 from citrondoor.links._http_pool import HttpPool
+from citrondoor.links._http_server import SMALL_LIMITS
 from citrondoor.links._http_server import HttpServer
 from citrondoor.links._json_client import JsonClient
 from citrondoor.links._peers import PeerLink
@@ -18,6 +19,7 @@
 from citrondoor.links._upstreams import UpstreamPool
 
 __all__ = [
+    "SMALL_LIMITS",
     "Call",
     "Exchange",
     "ExchangeOutcome",
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -8,13 +8,16 @@
 
 import asyncio
 import collections
+import contextlib
 import http
 import socket
 import struct
+import sys
 import typing
 from collections.abc import Callable
 
 from citrondoor import clock as clocks
+from citrondoor import limits as limiting
 from citrondoor.codecs import http1
 from citrondoor.schema import serving
 
@@ -22,9 +25,19 @@
 # Limits until the daemon has read its configuration: bytes of a head and of a
 # body, and timeouts in ms of an incomplete request and of an idle connection.
 DEFAULT_LIMITS = serving.CallerLimits(16_384, 262_144, 5_000, 75_000)
+# Limits of servers whose requests need no body.
+SMALL_LIMITS = serving.CallerLimits(8_192, 0, 5_000, 75_000)
 # Complete requests that may be queued on one connection; with more, the server
-# stops reading from it.
+# parses no further ones, and stops reading from it.
 MAX_PIPELINED_REQUESTS = 16
+# Received bytes are parsed in parts of this size, so that few requests are
+# queued above the limit.
+PARSED_AT_ONCE_BYTES = 4096
+# An answer that the caller has not read after this time has no end in sight.
+UNREAD_ANSWER_MS = 250
+# After a refusal, the caller may go on sending for this long; closing the
+# connection while bytes arrive would reset it and lose the refusal.
+REFUSAL_LINGER_MS = 300
 # Once the server no longer listens, a connection without a request stays open
 # for this long: its caller may have connected or sent a request just before.
 LATE_REQUEST_MS = 300
@@ -54,21 +67,47 @@
 
 
 class _Channel(asyncio.Protocol):
-    """Parses the requests of one connection and queues them."""
+    """Parses the requests of one connection and queues them.
+
+    Args:
+      limits: Limits of a head and of a body.
+      account: Where the memory of requests and answers is recorded.
+      on_open: Called with this object.
+
+    Attributes:
+      disconnected: Completes when the caller disconnects.
+      in_use: Holder of the request in progress, then of its answer until the
+        caller has read it.
+      transport: The open transport, or None.
+    """
 
     __slots__ = (
         "_error",
         "_head_began_at",
+        "_queued_bytes",
         "_reader",
+        "_received",
         "_requests",
         "_stop_at",
+        "_unparsed",
         "_wake_future",
         "_writable",
         "disconnected",
+        "in_use",
         "transport",
     )
 
-    def __init__(self, limits: serving.CallerLimits, on_open):
+    def __init__(
+        self,
+        limits: serving.CallerLimits,
+        account: limiting.MemoryAccount,
+        on_open,
+    ):
+        # Of requests that are partly received or queued.
+        self._received = account.open(serving.Sender.CALLER, self._give_way)
+        self.in_use = account.open(serving.Sender.CALLER, self._abort)
+        self._queued_bytes = 0
+        self._unparsed = b""
         self._reader = http1.RequestReader(
             limits.max_header_bytes, limits.max_body_bytes
         )
@@ -101,21 +140,80 @@
         """Parses received bytes; called by the event loop."""
         if self._error is not None:
             return
+        self._unparsed = self._unparsed + data if self._unparsed else data
+        self._parse()
+        if self._unparsed:
+            self.transport.pause_reading()
+        self._wake()
+
+    def _parse(self) -> None:
+        """Parses received bytes, until enough requests are queued."""
+        data, self._unparsed = self._unparsed, b""
+        position = 0
         try:
-            self._requests.extend(self._reader.feed(data))
+            while (
+                position < len(data)
+                and len(self._requests) <= MAX_PIPELINED_REQUESTS
+            ):
+                end = position + PARSED_AT_ONCE_BYTES
+                for request in self._reader.feed(data[position:end]):
+                    self._requests.append(request)
+                    self._queued_bytes += request.kept_bytes
+                position = end
         except http1.ProtocolError as error:
-            self._error = error
+            # A new one: the frames of a raised one keep the received bytes.
+            self._fail(http1.ProtocolError(error.status, str(error)))
+            return
+        self._unparsed = data[position:]
         if not self._reader.is_in_head:
             self._head_began_at = None
         elif self._head_began_at is None:
             self._head_began_at = asyncio.get_running_loop().time()
-        if len(self._requests) > MAX_PIPELINED_REQUESTS:
-            self.transport.pause_reading()
         if self._reader.expects_continue and self._reader.is_in_body:
             self._reader.expects_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._record_received()
+
+    def _fail(self, error: http1.ProtocolError) -> None:
+        """Keeps nothing of the request that is partly received."""
+        self._error = error
+        self._head_began_at = None
+        self._unparsed = b""
+        self._reader.drop()
+        self._record_received()
+
+    def _record_received(self) -> None:
+        kept_bytes = (
+            self._queued_bytes + self._reader.kept_bytes + len(self._unparsed)
+        )
+        if kept_bytes != self._received.kept_bytes:
+            # Its caller may never send the rest of a request.
+            self._received.record(kept_bytes, is_endless=True)
+
+    def _give_way(self) -> None:
+        """Drops the requests that have not begun; `next_request` raises."""
+        self._requests.clear()
+        self._queued_bytes = 0
+        self._fail(
+            http1.ProtocolError(
+                503,
+                "the messages of all senders need too much memory, and this"
+                " connection's requests the most",
+            )
+        )
         self._wake()
 
+    def _abort(self) -> None:
+        self.transport.abort()
+
+    def release(self) -> None:
+        """Drops all that is kept of the connection's messages."""
+        self._requests.clear()
+        self._queued_bytes = 0
+        # Replaces one that was raised, whose frames refer to this object.
+        self._fail(http1.ProtocolError(400, "the connection is closed"))
+        self.in_use.release()
+
     def eof_received(self) -> None:
         """Marks the caller as disconnected; called by the event loop."""
         self._mark_disconnected()
@@ -163,10 +261,20 @@
                 if self._requests:
                     break
                 if was_partial or self.has_partial_request:
-                    raise http1.ProtocolError(408, "a request that stalls")
+                    self._fail(
+                        http1.ProtocolError(408, "a request that stalls")
+                    )
+                    raise self._error
                 return None
-        self.transport.resume_reading()
-        return self._requests.popleft()
+        request = self._requests.popleft()
+        self._queued_bytes -= request.kept_bytes
+        if self._unparsed:
+            self._parse()
+        if not self._unparsed:
+            self.transport.resume_reading()
+        self.in_use.record(request.kept_bytes, is_complete=True)
+        self._record_received()
+        return request
 
     async def drain(self, timeout_ms: int) -> None:
         """Waits until all written bytes are sent; a stalled caller is cut off.
@@ -177,13 +285,36 @@
         Args:
           timeout_ms: Longest wait; the connection is aborted after it.
         """
+        unread_ms = min(UNREAD_ANSWER_MS, timeout_ms)
+        if not await self._wait_written(unread_ms, is_endless=False):
+            remaining_ms = timeout_ms - unread_ms
+            if not await self._wait_written(remaining_ms, is_endless=True):
+                self.transport.abort()
+        self.in_use.release()
+
+    async def _wait_written(self, timeout_ms: int, is_endless: bool) -> bool:
+        """Returns whether all written bytes were sent in time."""
         if self._writable is None:
+            return True
+        self.in_use.record(
+            self.transport.get_write_buffer_size(), is_endless=is_endless
+        )
+        await asyncio.wait(
+            (self._writable,), timeout=timeout_ms / clocks.MS_PER_S
+        )
+        return self._writable is None
+
+    async def linger(self) -> None:
+        """Ends the answers, and ignores what the caller still sends."""
+        if self.transport.is_closing():
             return
-        try:
-            async with asyncio.timeout(timeout_ms / clocks.MS_PER_S):
-                await self._writable
-        except TimeoutError:
-            self.transport.abort()
+        with contextlib.suppress(OSError):
+            # It fails if the caller has reset the connection.
+            self.transport.write_eof()
+        self.transport.resume_reading()
+        await asyncio.wait(
+            (self.disconnected,), timeout=REFUSAL_LINGER_MS / clocks.MS_PER_S
+        )
 
     def _end_drain(self) -> None:
         if self._writable is not None and not self._writable.done():
@@ -259,9 +390,12 @@
       on_error: Called with each unexpected exception of the handler. The
         request is answered with status 500, which does not say whether it has
         run.
+      account: Where the memory of requests and answers is recorded; None leaves
+        them to the limits of each connection.
     """
 
     __slots__ = (
+        "_account",
         "_channels",
         "_get_limits",
         "_handler",
@@ -278,7 +412,9 @@
         handler: Handler,
         get_limits: Callable[[], serving.CallerLimits | None] = lambda: None,
         on_error: Callable[[Exception], None] = lambda error: None,
+        account: limiting.MemoryAccount | None = None,
     ):
+        self._account = account or limiting.MemoryAccount(sys.maxsize)
         self._handler = handler
         self._get_limits = get_limits
         self._on_error = on_error
@@ -346,7 +482,9 @@
             await loop.connect_accepted_socket(self._make_channel, connection)
 
     def _make_channel(self) -> _Channel:
-        return _Channel(self._get_limits() or DEFAULT_LIMITS, self._on_open)
+        return _Channel(
+            self._get_limits() or DEFAULT_LIMITS, self._account, self._on_open
+        )
 
     def _on_open(self, channel: _Channel) -> None:
         task = asyncio.create_task(self._serve(channel))
@@ -364,6 +502,7 @@
                 pass
         finally:
             self._channels.discard(channel)
+            channel.release()
             if channel.transport is not None:
                 channel.transport.close()
 
@@ -378,9 +517,19 @@
             response = self._handler.refuse(error)
             channel.transport.write(http1.encode_response(response, False))
             await channel.drain(limits.idle_timeout_ms)
+            await channel.linger()
             return False
         if request is None:
             return False
+        # A coroutine of its own, which keeps neither the request nor the
+        # response while a slow caller reads.
+        keeps_alive = await self._answer(channel, request)
+        del request
+        await channel.drain(limits.idle_timeout_ms)
+        return keeps_alive
+
+    async def _answer(self, channel: _Channel, request: http1.Request) -> bool:
+        """Writes the answer; returns whether the connection stays open."""
         request.round_trip_ms = channel.round_trip_ms()
         self.active_requests += 1
         try:
@@ -399,5 +548,4 @@
         if request.method == b"HEAD":
             response.body = b""
         channel.transport.write(http1.encode_response(response, keeps_alive))
-        await channel.drain(limits.idle_timeout_ms)
         return keeps_alive
--- a/citrondoor/platform/_callers.py
+++ b/citrondoor/platform/_callers.py
@@ -8,6 +8,7 @@
 
 from citrondoor import clock as clocks
 from citrondoor import entry
+from citrondoor import limits
 from citrondoor import refusals
 from citrondoor.codecs import callers as codec
 from citrondoor.codecs import http1
@@ -32,9 +33,17 @@
         reach the dispatcher.
       on_answer: Called with the status and the latency in ms of each answer
         from the dispatcher.
+      account: Memory that messages keep; while it is short, all requests are
+        refused.
     """
 
-    __slots__ = ("_clock", "_dispatcher", "_on_answer", "_on_bad_request")
+    __slots__ = (
+        "_account",
+        "_clock",
+        "_dispatcher",
+        "_on_answer",
+        "_on_bad_request",
+    )
 
     def __init__(
         self,
@@ -42,7 +51,9 @@
         clock: clocks.Clock,
         on_bad_request,
         on_answer,
+        account: limits.MemoryAccount,
     ):
+        self._account = account
         self._dispatcher = dispatcher
         self._clock = clock
         self._on_bad_request = on_bad_request
@@ -54,6 +65,8 @@
         """Returns the response; None if the caller disconnected."""
         arrived_at = self._clock.now()
         decoded = decode_request(request, arrived_at)
+        if self._account.is_short and isinstance(decoded, entry.CallerRequest):
+            decoded = refusals.short_of_memory()
         if isinstance(decoded, messages.Refusal):
             self._on_bad_request(decoded)
             return encode_answer(decoded)
@@ -81,6 +94,8 @@
         refusal.kind = messages.RefusalKind.TOO_LARGE
     elif error.status == 408:
         refusal.kind = messages.RefusalKind.TOO_SLOW
+    elif error.status == 503:
+        return refusals.short_of_memory()
     return refusal
 
 
--- a/citrondoor/platform/_command.py
+++ b/citrondoor/platform/_command.py
@@ -38,10 +38,12 @@
         """Returns the codec of requests to searchers and their responses."""
         return _searcher_codec.PlatformSearcherCodec(on_unreadable)
 
-    def make_caller_handler(self, dispatcher, clock, on_bad_request, on_answer):
+    def make_caller_handler(
+        self, dispatcher, clock, on_bad_request, on_answer, account
+    ):
         """Returns the handler of callers' requests."""
         return _callers.CallerHandler(
-            dispatcher, clock, on_bad_request, on_answer
+            dispatcher, clock, on_bad_request, on_answer, account
         )
 
     def make_readiness_handler(self, is_ready):
--- a/citrondoor/refusals.py
+++ b/citrondoor/refusals.py
@@ -13,6 +13,7 @@
 OVERLOAD_RETRY_AFTER_MS = 100
 NOT_READY_RETRY_AFTER_MS = 500
 UNAVAILABLE_RETRY_AFTER_MS = 250
+MEMORY_RETRY_AFTER_MS = 500
 
 
 def malformed(detail: str, remedy: str) -> messages.Refusal:
@@ -132,6 +133,17 @@
     )
 
 
+def short_of_memory() -> messages.Refusal:
+    """The daemon keeps too much of the messages of all senders."""
+    return messages.Refusal(
+        _Kind.OVERLOADED,
+        "this entry is short of memory for another request",
+        "send the same request again later, or to another entry",
+        _NO,
+        MEMORY_RETRY_AFTER_MS,
+    )
+
+
 def leaving() -> messages.Refusal:
     """The daemon is shutting down."""
     return messages.Refusal(
--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -178,6 +178,7 @@
         b"x-a: 1\r\n" * 60,
     ),
     "empty lines": (b"", b"\r\n" * 250),
+    "many headers": (b"GET / HTTP/1.1\r\n", b"a:\r\n" * 60),
 }
 
 
@@ -462,3 +463,46 @@
     finally:
         tracemalloc.stop()
         gc.enable()
+
+
+PARTIAL_REQUESTS = {
+    "tiny headers": (b"GET / HTTP/1.1\r\n", b"ab:cd\r\n" * 20, 12),
+    "header value": (b"GET / HTTP/1.1\r\nx-a: ", b"a" * 500, 20),
+    "body": (
+        b"POST / HTTP/1.1\r\ncontent-length: 90000\r\n\r\n",
+        b"x" * 999,
+        80,
+    ),
+    "chunks": (
+        b"POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n",
+        b"1\r\nx\r\n" * 100,
+        200,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", PARTIAL_REQUESTS)
+def test_a_partial_request_keeps_at_most_what_it_says_and_nothing_once_dropped(
+    name,
+):
+    start, piece, count = PARTIAL_REQUESTS[name]
+    reader = http1.RequestReader(16_384, 262_144)
+    tracemalloc.start()
+    reader.feed(start)
+    for _ in range(count):
+        reader.feed(piece)
+    kept_bytes, _ = tracemalloc.get_traced_memory()
+    said_bytes = reader.kept_bytes
+    reader.drop()
+    dropped_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert kept_bytes <= said_bytes <= 100_000
+    assert dropped_bytes < 2000
+    assert reader.kept_bytes == 0
+
+
+def test_many_tiny_headers_are_refused_within_one_piece():
+    reader = http1.RequestReader(16_384, 1000)
+    with pytest.raises(http1.ProtocolError, match="over 256 headers") as caught:
+        reader.feed(b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 300)
+    assert caught.value.status == 431
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from citrondoor import limits
 from citrondoor import links
 from citrondoor.codecs import http1
 from citrondoor.schema import serving
@@ -36,8 +37,10 @@
 STARTED_SERVERS: list[links.HttpServer] = []
 
 
-async def start(handler, on_error=lambda error: None) -> links.HttpServer:
-    server = links.HttpServer(handler, lambda: LIMITS, on_error)
+async def start(
+    handler, on_error=lambda error: None, account=None, caller_limits=LIMITS
+) -> links.HttpServer:
+    server = links.HttpServer(handler, lambda: caller_limits, on_error, account)
     await server.start("127.0.0.1", 0)
     STARTED_SERVERS.append(server)
     return server
@@ -323,3 +326,122 @@
         assert second.header_value(b"connection") == b"close"
 
     run(body())
+
+
+LARGE_LIMITS = serving.CallerLimits(16_384, 262_144, 5_000, 5_000)
+PARTIAL_BODY = (
+    b"POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 262144\r\n\r\n"
+    + b"x" * 210_000
+)
+
+
+async def wait_until(condition) -> None:
+    async with asyncio.timeout(2):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_callers_that_hold_bodies_are_refused_and_others_are_served():
+    # LOST: 2,000 of them kept over 400 MB; the platform ended the process.
+    async def body():
+        account = limits.MemoryAccount(2_000_000)
+        handler = EchoHandler()
+        server = await start(handler, None, account, LARGE_LIMITS)
+        holding = [await connect(server) for _ in range(20)]
+        for _, writer in holding:
+            writer.write(PARTIAL_BODY)
+        await wait_until(
+            lambda: account.gave_way_counts[serving.Sender.CALLER] >= 15
+        )
+        answer = await exchange(server, GET)
+        assert not account.is_short
+        kept_bytes = account.kept_bytes
+        refusals = []
+        for reader, writer in holding:
+            writer.close()
+            refusals.append(await reader.read(-1))
+        await wait_until(lambda: not account.kept_bytes)
+        return answer, kept_bytes, refusals, handler.requests
+
+    answer, kept_bytes, refusals, requests = run(body())
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    assert 0 < kept_bytes <= 1_100_000
+    refused = [r for r in refusals if r]
+    assert len(refused) >= 15
+    assert all(r.startswith(b"HTTP/1.1 503 ") for r in refused)
+    assert len(requests) == 1
+
+
+def test_a_request_in_progress_is_kept_and_what_follows_it_gives_way():
+    async def body():
+        account = limits.MemoryAccount(700_000)
+        handler = EchoHandler(pause_s=0.1)
+        server = await start(handler, None, account, LARGE_LIMITS)
+        reader, writer = await connect(server)
+        writer.write(PARTIAL_BODY[:-210_000] + b"x" * 262_144)
+        await wait_until(lambda: handler.requests)
+        assert account.kept_bytes > 262_144
+        writer.write(PARTIAL_BODY)
+        answers = await reader.read(-1)
+        writer.close()
+        await wait_until(lambda: not account.kept_bytes)
+        return answers, handler.requests
+
+    answers, requests = run(body())
+    assert answers.startswith(b"HTTP/1.1 200 ")
+    assert answers.count(b"HTTP/1.1 503 ") == 1
+    assert len(requests) == 1
+
+
+def test_pipelined_requests_in_one_piece_are_parsed_a_few_at_a_time():
+    async def body():
+        account = limits.MemoryAccount(2**30)
+        server = await start(EchoHandler(), None, account, LARGE_LIMITS)
+        reader, writer = await connect(server)
+        writer.write(GET * 3000 + GET.replace(b"/a", b"/last"))
+        received = b""
+        async with asyncio.timeout(5):
+            while not received.endswith(b"/last"):
+                received += await reader.read(65_536)
+        writer.close()
+        return received, account.peak_bytes
+
+    received, peak_bytes = run(body())
+    assert received.count(b"HTTP/1.1 200 ") == 3001
+    # 262,144 bytes are read at once.
+    assert peak_bytes < 262_144 + 250_000
+
+
+def test_an_answer_that_is_not_read_gives_way():
+    async def body():
+        account = limits.MemoryAccount(4_000_000)
+        handler = LargeAnswerHandler()
+        server = await start(handler, None, account, LARGE_LIMITS)
+        connections = [await connect(server) for _ in range(12)]
+        for _, writer in connections:
+            writer.write(GET * 15)
+        await wait_until(
+            lambda: account.gave_way_counts[serving.Sender.CALLER] >= 1
+        )
+        # What the kernel did not take of 12 answers is 3.6 MB.
+        await wait_until(lambda: account.kept_bytes <= 2_000_000)
+        for _, writer in connections:
+            writer.transport.abort()
+        await wait_until(lambda: not account.kept_bytes)
+
+    run(body())
+
+
+def test_a_refusal_arrives_although_the_caller_goes_on_sending():
+    async def body():
+        server = await start(EchoHandler())
+        reader, writer = await connect(server)
+        writer.write(b"GET /a HTTP/1.1\r\nx-a: " + b"a" * 500)
+        for _ in range(5):
+            await asyncio.sleep(0.01)
+            writer.write(b"a" * 100_000)
+        answer = await reader.read(-1)
+        writer.close()
+        return answer
+
+    assert run(body()).startswith(b"HTTP/1.1 431 ")
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,10 +1,15 @@
+import asyncio
+
 import pytest
 
+from citrondoor import clock as clocks
 from citrondoor import entry
+from citrondoor import limits
 from citrondoor import refusals
 from citrondoor.codecs import http1
 from citrondoor.platform import _callers
 from citrondoor.schema import messages
+from citrondoor.schema import serving
 
 REFUSAL_KIND = messages.RefusalKind
 REQUIRED_HEADERS = [(b"host", b"shop.example"), (b"x-request-id", b"r1")]
@@ -106,3 +111,26 @@
     assert response.status in NOT_RUN_STATUSES
     assert response.header_value(b"retry-after") == b"0.300"
     assert _callers.encode_answer(may_have_run).status not in NOT_RUN_STATUSES
+
+
+def test_requests_are_refused_as_not_run_while_memory_is_short():
+    account = limits.MemoryAccount(1000)
+    refused = []
+    # Without a dispatcher, a request that is dispatched fails the test.
+    handler = _callers.CallerHandler(
+        None, clocks.Clock(), refused.append, None, account
+    )
+    account.open(serving.Sender.SEARCHER, None).record(900, is_complete=True)
+    response = asyncio.run(handler.handle(request(*REQUIRED_HEADERS), None))
+    assert response.status == 503
+    assert response.header_value(b"retry-after") == b"0.500"
+    assert [refusal.ran for refusal in refused] == [messages.Ran.NO]
+
+
+def test_a_request_that_gave_way_is_refused_with_a_time_to_retry():
+    handler = _callers.CallerHandler(
+        None, None, lambda refusal: None, None, None
+    )
+    response = handler.refuse(http1.ProtocolError(503, "too much memory"))
+    assert response.status == 503
+    assert response.header_value(b"retry-after") == b"0.500"
