Bound what links of peers keep

What callers saw: the daemon ended over its memory, or stood still, while peers sent frames of up to 32 MB that never ended, or requests without end. A frame that broke off stayed until the next garbage collection: the task group of the link and its error refer to each other.

Tests before: "TimeoutError" for frames and handshakes, "assert 306 == 256" for requests in progress.

A link records partial frames, unsent bytes and requests in progress, and gives way by closing; its peer dials again. At most 128 connections are in a handshake, the oldest makes room. At most 256 requests of a link are handled at once; further ones are not read. The relay records peers' requests and sends none while memory is short, which it reports as unsent.

--- a/citrondoor/codecs/peers.py
+++ b/citrondoor/codecs/peers.py
@@ -11,6 +11,7 @@
 import hmac
 import struct
 import zlib
+from collections.abc import Callable
 
 import thrift.protocol.TCompactProtocol
 import thrift.transport.TTransport
@@ -20,6 +21,8 @@
 LENGTH_BYTES = 4
 MAC_BYTES = 16
 NONCE_BYTES = 16
+# Longer frames are read in pieces of this size.
+PIECE_BYTES = 65_536
 # Shorter messages, such as heartbeats without updates, gain nothing.
 MIN_COMPRESSED_BYTES = 512
 # Names and addresses in lists of members, searchers and routes repeat so much
@@ -116,9 +119,12 @@
 
     def next_mac(self, payload: bytes) -> bytes:
         """Returns the MAC of the next frame, and counts the frame."""
-        data = _SEQUENCE.pack(self._sequence) + payload
+        code = hmac.new(
+            self._key, _SEQUENCE.pack(self._sequence), hashlib.sha256
+        )
+        code.update(payload)
         self._sequence += 1
-        return hmac.digest(self._key, data, hashlib.sha256)[:MAC_BYTES]
+        return code.digest()[:MAC_BYTES]
 
 
 def derive_key(cluster_key: bytes, direction: str, hellos: bytes) -> bytes:
@@ -142,15 +148,23 @@
     reader: asyncio.StreamReader,
     authenticator: FrameAuthenticator,
     max_bytes: int,
+    on_piece: Callable[[int], None] = lambda received_bytes: None,
 ) -> bytes:
     """Reads the next frame and returns its payload.
 
+    Args:
+      reader: Stream of received bytes.
+      authenticator: Computes the MAC that the frame must have.
+      max_bytes: Maximum size of the frame.
+      on_piece: Called with the bytes received so far of a long frame.
+
     Raises:
       errors.FrameError: The frame is too long or its MAC is wrong.
       asyncio.IncompleteReadError: The peer closed the connection.
     """
-    data = await read_plain_frame(reader, max_bytes)
+    data = await read_plain_frame(reader, max_bytes, on_piece)
     mac, payload = data[:MAC_BYTES], data[MAC_BYTES:]
+    del data
     if not hmac.compare_digest(mac, authenticator.next_mac(payload)):
         raise errors.FrameError(
             "a frame's authentication code is wrong: a frame was altered,"
@@ -165,10 +179,17 @@
 
 
 async def read_plain_frame(
-    reader: asyncio.StreamReader, max_bytes: int
+    reader: asyncio.StreamReader,
+    max_bytes: int,
+    on_piece: Callable[[int], None] = lambda received_bytes: None,
 ) -> bytes:
     """Reads the next frame and returns what follows the length.
 
+    Args:
+      reader: Stream of received bytes.
+      max_bytes: Maximum size of the frame.
+      on_piece: Called with the bytes received so far of a long frame.
+
     Raises:
       errors.FrameError: The frame is longer than `max_bytes`.
       asyncio.IncompleteReadError: The peer closed the connection.
@@ -178,4 +199,17 @@
         raise errors.FrameError(
             f"a frame has {length} bytes; at most {max_bytes} are allowed"
         )
-    return await reader.readexactly(length)
+    if length <= PIECE_BYTES:
+        return await reader.readexactly(length)
+    data = bytearray()
+    try:
+        while len(data) < length:
+            piece = await reader.read(min(PIECE_BYTES, length - len(data)))
+            if not piece:
+                raise asyncio.IncompleteReadError(b"", length)
+            data += piece
+            on_piece(len(data))
+        return bytes(data)
+    finally:
+        # The frames of an error keep this object until a garbage collection.
+        data.clear()
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -218,7 +218,12 @@
         regions_by_zone = {zone.zone: zone.region for zone in settings.zones}
         self._view = entry.LocalView(self._record_event, regions_by_zone)
         self._peers = entry.PeerNetwork(
-            settings, self._incarnation, self._view, self._clock, self._log
+            settings,
+            self._incarnation,
+            self._view,
+            self._clock,
+            self._log,
+            self._account,
         )
         self._store = self._adapter.make_store_client(
             settings.store, self._on_unreadable, self._account
@@ -254,7 +259,12 @@
         )
         self._dispatcher.set_pool(self._pool)
         self._relay = entry.Relay(
-            self._peers, self._view, self._incarnation, self._clock, self._rng
+            self._peers,
+            self._view,
+            self._incarnation,
+            self._clock,
+            self._rng,
+            self._account,
         )
         self._relay.set_pool(self._pool)
         self._relay.set_searcher_state(
--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -14,6 +14,7 @@
 from citrondoor import clock as clocks
 from citrondoor import discovery
 from citrondoor import errors
+from citrondoor import limits
 from citrondoor import links
 from citrondoor import membership
 from citrondoor.codecs import envelopes
@@ -68,6 +69,7 @@
       view: Local view of routes and searchers, exchanged with peers.
       clock: Clock of the daemon.
       log: Log of decisions.
+      account: Where the memory of peers' messages is recorded.
     """
 
     __slots__ = (
@@ -106,6 +108,7 @@
         view: _view.LocalView,
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
+        account: limits.MemoryAccount | None = None,
     ):
         self._settings = settings
         self._seeds = settings.seeds
@@ -125,6 +128,7 @@
             bytes.fromhex(settings.peer_key),
             MAX_FRAME_BYTES,
             PEER_REQUEST_TIMEOUT_MS,
+            account,
         )
         self._links: dict[str, links.PeerLink] = {}
         self._tasks: dict[str, asyncio.Task] = {}
--- a/citrondoor/entry/_relay.py
+++ b/citrondoor/entry/_relay.py
@@ -11,10 +11,12 @@
 import functools
 import itertools
 import random
+import sys
 from collections.abc import Callable
 
 from citrondoor import clock as clocks
 from citrondoor import fanout
+from citrondoor import limits
 from citrondoor import links
 from citrondoor.codecs import http1
 from citrondoor.entry import _peer_network
@@ -33,6 +35,8 @@
 # Random bits in the origin of a process, besides its incarnation: the time of
 # day, from which incarnations come, may be set back before a restart.
 ORIGIN_RANDOM_BITS = 20
+# Memory of a send for a peer, besides the request that its batch shares.
+SERVED_SEND_BYTES = 1024
 
 
 class RelayCounters:
@@ -76,11 +80,28 @@
 
     `requester` is the peer's VM, and `origin` identifies its process.
     `next_index` numbers the replies of the batch in the order of pruning.
+    `holder` records the request until `remaining_count` sends have ended.
     """
 
-    __slots__ = ("next_index", "origin", "pruner", "requester")
+    __slots__ = (
+        "holder",
+        "next_index",
+        "origin",
+        "pruner",
+        "remaining_count",
+        "requester",
+    )
 
-    def __init__(self, requester: str, origin: int, top: int):
+    def __init__(
+        self,
+        requester: str,
+        origin: int,
+        top: int,
+        holder: limits.Holder,
+        send_count: int,
+    ):
+        self.holder = holder
+        self.remaining_count = send_count
         self.requester = requester
         self.origin = origin
         self.pruner = fanout.Pruner(top)
@@ -98,9 +119,12 @@
       incarnation: Incarnation of this daemon.
       clock: Clock of the daemon.
       rng: Random number generator.
+      account: Where the memory of peers' requests is recorded; while it is
+        short, none is sent. None leaves them unlimited.
     """
 
     __slots__ = (
+        "_account",
         "_clock",
         "_last_reply_at",
         "_newest_origins",
@@ -127,7 +151,9 @@
         incarnation: int,
         clock: clocks.Clock,
         rng: random.Random,
+        account: limits.MemoryAccount | None = None,
     ):
+        self._account = account or limits.MemoryAccount(sys.maxsize)
         self._peers = peers
         self._view = view
         self._clock = clock
@@ -362,13 +388,27 @@
         )
         origin = message.origin
         self._cancel_for_predecessors(sender, origin)
-        batch = _ServedBatch(sender, origin, message.top)
+        is_short = self._account.is_short
+        batch = _ServedBatch(
+            sender,
+            origin,
+            message.top,
+            self._account.open(serving.Sender.PEER, _keep),
+            len(message.sends),
+        )
+        if message.sends:
+            batch.holder.record(
+                len(message.head)
+                + len(message.body)
+                + len(message.sends) * SERVED_SEND_BYTES,
+                is_complete=True,
+            )
         for send in message.sends:
             self.counters.served_for_peers += 1
             token = next(self._tokens)
             upstream = self._view.registry.find(send.upstream)
             pause_ms = 0 if upstream is None else self._pause_ms(upstream)
-            is_sent = upstream is not None and not pause_ms
+            is_sent = upstream is not None and not pause_ms and not is_short
             self._served_sends[token] = (
                 batch,
                 send.token,
@@ -475,6 +515,9 @@
     ) -> None:
         self._pool.release(token)
         batch, requester_token, upstream = self._served_sends.pop(token)
+        batch.remaining_count -= 1
+        if not batch.remaining_count:
+            batch.holder.release()
         if upstream is not None:
             self._on_served_reply(upstream, reply)
         requester = (batch.requester, batch.origin)
@@ -523,6 +566,10 @@
     )
 
 
+def _keep() -> None:
+    """Is never called: requests in use do not give way."""
+
+
 def _split_head(head: bytes) -> list[tuple[bytes, bytes]]:
     pairs = (line.partition(b":") for line in head.split(b"\r\n") if line)
     return [(name, value) for name, _, value in pairs]
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -13,13 +13,16 @@
 import hmac
 import itertools
 import secrets
+import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
 
 from citrondoor import clock as clocks
 from citrondoor import errors
+from citrondoor import limits
 from citrondoor.codecs import peers as codec
 from citrondoor.schema import messages
+from citrondoor.schema import serving
 
 MAX_HANDSHAKE_BYTES = 4096
 HANDSHAKE_TIMEOUT_S = 2.0
@@ -29,6 +32,15 @@
 # to it would fill the memory. Within the 64 MB that a daemon may use for
 # control; a message is sent whatever its size while there are fewer.
 MAX_UNSENT_BYTES = 8_388_608
+# Connections whose handshake is not complete; with more, the oldest is closed.
+MAX_HANDSHAKES = 128
+# Requests of one link that are handled at the same time; further ones are not
+# read until one of them has ended.
+MAX_REQUESTS_IN_PROGRESS = 256
+# Memory of a request in progress besides its message: its task and its reply.
+REQUEST_BYTES = 4096
+# Less is not recorded in the account.
+MIN_RECORDED_BYTES = 65_536
 
 Connector = Callable[[str, int], Awaitable[tuple]]
 Handler = Callable[[str, messages.Body], Awaitable[messages.Body]]
@@ -43,9 +55,12 @@
       key: Secret key that all daemons of the cluster share.
       max_frame_bytes: Maximum size of a received frame.
       request_timeout_ms: Default timeout of a request.
+      account: Where the memory of messages is recorded; None leaves them to the
+        limits of each link.
     """
 
     __slots__ = (
+        "account",
         "incarnation",
         "key",
         "max_frame_bytes",
@@ -60,7 +75,9 @@
         key: bytes,
         max_frame_bytes: int,
         request_timeout_ms: int,
+        account: limits.MemoryAccount | None = None,
     ):
+        self.account = account or limits.MemoryAccount(sys.maxsize)
         self.vm = vm
         self.incarnation = incarnation
         self.key = key
@@ -77,7 +94,7 @@
       hello: The hello message that the peer sent.
       receive_authenticator: Computes the MACs of received frames.
       send_authenticator: Computes the MACs of sent frames.
-      max_frame_bytes: Maximum size of a received frame.
+      settings: Settings that all links share.
 
     Attributes:
       bytes_sent: Bytes of the frames sent since the owner last added them to
@@ -87,7 +104,10 @@
     """
 
     __slots__ = (
+        "_holder",
+        "_in_progress_bytes",
         "_max_frame_bytes",
+        "_partial_bytes",
         "_reader",
         "_receive_authenticator",
         "_send_authenticator",
@@ -104,14 +124,19 @@
         hello: messages.Hello,
         receive_authenticator: codec.FrameAuthenticator,
         send_authenticator: codec.FrameAuthenticator,
-        max_frame_bytes: int,
+        settings: PeerSettings,
     ):
         self._reader = reader
         self.writer = writer
         self.hello = hello
         self._receive_authenticator = receive_authenticator
         self._send_authenticator = send_authenticator
-        self._max_frame_bytes = max_frame_bytes
+        self._max_frame_bytes = settings.max_frame_bytes
+        self._holder = settings.account.open(
+            serving.Sender.PEER, writer.transport.abort
+        )
+        self._partial_bytes = 0
+        self._in_progress_bytes = 0
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -131,18 +156,55 @@
         data = codec.encode_frame(self._send_authenticator, payload)
         self.bytes_sent += len(data)
         self.writer.write(data)
+        self._record_kept()
 
     async def receive(self) -> messages.Envelope:
         """Waits for the next message and returns it."""
         payload = await codec.read_frame(
-            self._reader, self._receive_authenticator, self._max_frame_bytes
+            self._reader,
+            self._receive_authenticator,
+            self._max_frame_bytes,
+            self._record_partial,
         )
+        self._record_partial(0)
         self.bytes_received += len(payload)
         # Both sides compress if both accept it, and this one always does.
         if self.hello.accepts_compression:
             payload = codec.decompress(payload, self._max_frame_bytes)
         return codec.decode(messages.Envelope, payload)
 
+    def begin_request(self, payload_bytes: int) -> None:
+        """Records that a request of this size is in progress."""
+        self._in_progress_bytes += payload_bytes + REQUEST_BYTES
+        self._record_kept()
+
+    def end_request(self, payload_bytes: int) -> None:
+        """Records the end of a request."""
+        self._in_progress_bytes -= payload_bytes + REQUEST_BYTES
+        self._record_kept()
+
+    def close(self) -> None:
+        """Closes the connection at once."""
+        self.writer.transport.abort()
+        self._holder.release()
+
+    def _record_partial(self, received_bytes: int) -> None:
+        self._partial_bytes = received_bytes
+        self._record_kept()
+
+    def _record_kept(self) -> None:
+        transport = self.writer.transport
+        kept_bytes = (
+            self._partial_bytes
+            + self._in_progress_bytes
+            + transport.get_write_buffer_size()
+        )
+        if kept_bytes < MIN_RECORDED_BYTES or transport.is_closing():
+            kept_bytes = 0
+        if kept_bytes != self._holder.kept_bytes:
+            # The peer may never send the rest of a frame, nor read a reply.
+            self._holder.record(kept_bytes, is_endless=True)
+
 
 async def _perform_handshake(
     reader: asyncio.StreamReader,
@@ -188,7 +250,7 @@
         peer,
         codec.FrameAuthenticator(peer_key),
         codec.FrameAuthenticator(own_key),
-        settings.max_frame_bytes,
+        settings,
     )
 
 
@@ -380,7 +442,7 @@
         self._is_connected.clear()
         if channel is None:
             return
-        channel.writer.transport.abort()
+        channel.close()
         for future in self._pending_replies.values():
             if not future.done():
                 future.set_exception(_make_unreachable_error(self.name))
@@ -403,6 +465,7 @@
     __slots__ = (
         "_channels",
         "_handler",
+        "_handshakes",
         "_on_disconnect",
         "_on_notification",
         "_on_protocol_error",
@@ -430,6 +493,8 @@
         # The newest connection of each peer, by its name.
         self._channels: dict[str, _Channel] = {}
         self._tasks: set[asyncio.Task] = set()
+        # Tasks of connections whose handshake is not complete, oldest first.
+        self._handshakes: dict[asyncio.Task, None] = {}
         self.bytes_sent = 0
         self.bytes_received = 0
 
@@ -474,6 +539,13 @@
         task = asyncio.create_task(self._serve(reader, writer))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        if len(self._handshakes) >= MAX_HANDSHAKES:
+            oldest = next(iter(self._handshakes))
+            del self._handshakes[oldest]
+            oldest.cancel()
+            self._on_protocol_error()
+        self._handshakes[task] = None
+        task.add_done_callback(lambda done: self._handshakes.pop(done, None))
         # Not at the end of the task itself, which may be cancelled before it
         # has begun.
         task.add_done_callback(lambda _: writer.transport.abort())
@@ -486,6 +558,7 @@
                 channel = await _perform_handshake(
                     reader, writer, self._settings, is_dialer=False
                 )
+            self._handshakes.pop(asyncio.current_task(), None)
             await self._serve_channel(channel)
         except* (OSError, EOFError):
             pass
@@ -499,23 +572,36 @@
         try:
             await self._process_messages(channel)
         finally:
+            channel.close()
             # A peer that has reconnected has a newer channel here: keep it.
             if self._channels.get(name) is channel:
                 del self._channels[name]
                 self._on_disconnect(name)
 
     async def _process_messages(self, channel: _Channel) -> None:
+        requests: set[asyncio.Task] = set()
         async with asyncio.TaskGroup() as group:
             while True:
+                if len(requests) >= MAX_REQUESTS_IN_PROGRESS:
+                    await asyncio.wait(
+                        requests, return_when=asyncio.FIRST_COMPLETED
+                    )
                 envelope = await channel.receive()
-                self.bytes_received += channel.bytes_received
+                payload_bytes = channel.bytes_received
+                self.bytes_received += payload_bytes
                 channel.bytes_received = 0
                 if not envelope.id and self._on_notification is not None:
                     self._on_notification(channel.hello.vm, envelope.body)
                     continue
                 # A handler may wait for other requests, so it runs in its own
                 # task and does not delay the next message.
-                group.create_task(self._send_reply(channel, envelope))
+                channel.begin_request(payload_bytes)
+                request = group.create_task(self._send_reply(channel, envelope))
+                requests.add(request)
+                request.add_done_callback(requests.discard)
+                request.add_done_callback(
+                    lambda _, size=payload_bytes: channel.end_request(size)
+                )
 
     async def _send_reply(
         self, channel: _Channel, envelope: messages.Envelope
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -5,10 +5,12 @@
 from citrondoor import clock as clocks
 from citrondoor import entry
 from citrondoor import fanout
+from citrondoor import limits
 from citrondoor import links
 from citrondoor.codecs import http1
 from citrondoor.entry import _relay
 from citrondoor.schema import messages
+from citrondoor.schema import serving
 from tests import serving_samples as samples
 
 OUTCOME = links.ExchangeOutcome
@@ -92,6 +94,7 @@
 
     def __init__(self):
         self.clock = clocks.ManualClock(1000)
+        self.account = limits.MemoryAccount(100_000)
         self.results = {}
         self.remaining_tokens = []
         self.peer_networks = [
@@ -121,7 +124,7 @@
     def _make_relay(self, peers, view):
         incarnation = self.clock.unix_ms()
         relay = entry.Relay(
-            peers, view, incarnation, self.clock, random.Random(1)
+            peers, view, incarnation, self.clock, random.Random(1), self.account
         )
         relay.set_pool(self.pool)
         return relay
@@ -419,3 +422,31 @@
         }
 
     run(body)
+
+
+def test_a_request_of_a_peer_is_in_the_account_until_all_its_sends_end():
+    async def body(pair):
+        assert pair.submit()
+        await pair.settle()
+        kept_bytes = pair.account.kept_bytes_of(serving.Sender.PEER)
+        assert kept_bytes > 4 * _relay.SERVED_SEND_BYTES
+        pair.pool.answer("i-0")
+        assert pair.account.kept_bytes == kept_bytes
+        for n in (1, 2, 3):
+            pair.pool.answer(f"i-{n}")
+        assert pair.account.kept_bytes == 0
+
+    run(body)
+
+
+def test_requests_of_peers_are_not_sent_while_memory_is_short():
+    async def body(pair):
+        pair.account.open(serving.Sender.CALLER, None).record(
+            80_000, is_complete=True
+        )
+        assert pair.submit()
+        await pair.settle()
+        assert {r.outcome for r in pair.results.values()} == {OUTCOME.UNSENT}
+        assert len(pair.results) == 4
+
+    run(body)
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -1,18 +1,25 @@
 import asyncio
+import gc
 import random
+import tracemalloc
 
 import pytest
 
 from citrondoor import errors
+from citrondoor import limits
 from citrondoor import links
 from citrondoor.codecs import peers as codec
+from citrondoor.links import _peers
 from citrondoor.schema import messages
+from citrondoor.schema import serving
 
 KEY = b"k" * 16
 
 
-def make_settings(vm: str, key: bytes = KEY) -> links.PeerSettings:
-    return links.PeerSettings(vm, 1, key, 4096, 2000)
+def make_settings(
+    vm: str, key: bytes = KEY, max_frame_bytes=4096, account=None
+) -> links.PeerSettings:
+    return links.PeerSettings(vm, 1, key, max_frame_bytes, 2000, account)
 
 
 async def increment_revision(sender: str, body: messages.Body) -> messages.Body:
@@ -27,11 +34,11 @@
 class Pair:
     """A peer server, and links that dial it."""
 
-    def __init__(self):
+    def __init__(self, settings=None, handler=increment_revision):
         self.protocol_error_count = 0
         self.link_up = asyncio.Event()
         self.server = links.PeerServer(
-            make_settings("vm-1"), increment_revision, self.on_protocol_error
+            settings or make_settings("vm-1"), handler, self.on_protocol_error
         )
         self.port = 0
 
@@ -70,9 +77,9 @@
     return messages.Body(config_advert=messages.ConfigAdvert(revision))
 
 
-def run(scenario) -> None:
+def run(scenario, *options) -> None:
     async def run_with_pair():
-        pair = Pair()
+        pair = Pair(*options)
         await pair.start()
         try:
             await scenario(pair)
@@ -307,3 +314,128 @@
         await server.close()
 
     asyncio.run(body())
+
+
+async def wait_until(condition) -> None:
+    async with asyncio.timeout(2):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+def test_frames_without_end_give_way_to_the_limit_of_all_messages():
+    # Ten peers that sent most of a frame kept 370 MB.
+    account = limits.MemoryAccount(1_000_000)
+
+    async def scenario(pair):
+        dialled = []
+        for _ in range(3):
+            pair.link_up.clear()
+            dialled.append(pair.dial())
+            await pair.link_up.wait()
+            writer = dialled[-1]._channel.writer
+            writer.write((900_000).to_bytes(4) + bytes(300_000))
+        await wait_until(
+            lambda: account.gave_way_counts[serving.Sender.PEER] == 2
+        )
+        assert 300_000 <= account.kept_bytes <= 500_000
+        for link in dialled:
+            link.close()
+        await wait_until(lambda: not account.kept_bytes)
+
+    run(scenario, make_settings("vm-1", KEY, 1_000_000, account))
+
+
+def test_connections_without_a_handshake_are_bounded_and_keep_no_peer_out():
+    async def scenario(pair):
+        writers = []
+        for _ in range(_peers.MAX_HANDSHAKES + 50):
+            _, writer = await asyncio.open_connection("127.0.0.1", pair.port)
+            writer.write((4096).to_bytes(4) + bytes(4095))
+            writers.append(writer)
+        await wait_until(lambda: pair.protocol_error_count >= 50)
+        assert len(pair.server._handshakes) <= _peers.MAX_HANDSHAKES
+        link = pair.dial()
+        async with asyncio.timeout(1):
+            await pair.link_up.wait()
+        link.close()
+        for writer in writers:
+            writer.transport.abort()
+
+    run(scenario)
+
+
+def test_requests_of_a_link_in_progress_are_bounded_and_all_answered():
+    account = limits.MemoryAccount(2**30)
+    may_end = asyncio.Event()
+    running = []
+
+    async def handle(sender, body):
+        running.append(body)
+        await may_end.wait()
+        return body
+
+    async def scenario(pair):
+        link = pair.dial()
+        await pair.link_up.wait()
+        count = _peers.MAX_REQUESTS_IN_PROGRESS + 50
+        requests = [
+            asyncio.create_task(link.request(make_advert(n)))
+            for n in range(count)
+        ]
+        await wait_until(
+            lambda: len(running) >= _peers.MAX_REQUESTS_IN_PROGRESS
+        )
+        await asyncio.sleep(0.05)
+        assert len(running) == _peers.MAX_REQUESTS_IN_PROGRESS
+        assert account.kept_bytes >= len(running) * _peers.REQUEST_BYTES
+        may_end.set()
+        replies = await asyncio.gather(*requests)
+        assert [r.config_advert.revision for r in replies] == list(range(count))
+        await wait_until(lambda: not account.kept_bytes)
+        link.close()
+
+    run(scenario, make_settings("vm-1", KEY, 4096, account), handle)
+
+
+def test_messages_that_a_peer_does_not_read_give_way():
+    account = limits.MemoryAccount(1_000_000)
+
+    async def scenario(pair):
+        link = pair.dial()
+        await pair.link_up.wait()
+        link._channel.writer.transport.pause_reading()
+        reply = messages.RelayReply(
+            1, 1, 200, b"", random.Random(1).randbytes(200_000), index=0
+        )
+        body = messages.Body(relay_replies=messages.RelayReplies([reply]))
+        while not pair.server.notify("vm-0", body):
+            await asyncio.sleep(0.001)
+        while pair.server.notify("vm-0", body):
+            await asyncio.sleep(0.001)
+        assert account.gave_way_counts[serving.Sender.PEER] == 1
+        assert account.peak_bytes < 1_000_000
+        link.close()
+
+    run(scenario, make_settings("vm-1", KEY, 4096, account))
+
+
+def test_a_partial_frame_is_not_kept_after_its_link():
+    # The frames of the link's error refer to each other.
+    async def scenario(pair):
+        link = pair.dial()
+        await pair.link_up.wait()
+        tracemalloc.start()
+        link._channel.writer.write((900_000).to_bytes(4) + bytes(800_000))
+        await wait_until(lambda: tracemalloc.get_traced_memory()[0] > 700_000)
+        link.close()
+        await wait_until(lambda: not pair.server.is_linked("vm-0"))
+        await asyncio.sleep(0.01)
+        kept_bytes, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert kept_bytes < 300_000
+
+    gc.disable()
+    try:
+        run(scenario, make_settings("vm-1", KEY, 1_000_000))
+    finally:
+        gc.enable()
