--- a/citrondoor/links/_json_client.py
+++ b/citrondoor/links/_json_client.py
@@ -112,11 +112,11 @@
             ),
         )
         received_bytes = 0
+        parser = http1.ResponseReader(MAX_RESPONSE_BYTES)
         try:
             host = "{}:{}".format(*self._address).encode()
             headers = [(b"host", host), (b"connection", b"close")]
             writer.write(http1.encode_request(b"GET", target, headers, b""))
-            parser = http1.ResponseReader(MAX_RESPONSE_BYTES)
             while data := await reader.read(READ_CHUNK_BYTES):
                 received_bytes += len(data)
                 if received_bytes > MAX_RESPONSE_BYTES:
@@ -125,11 +125,12 @@
                     )
                 for response in parser.feed(data):
                     return response
-                holder.record(parser.held_bytes)
+                holder.record(parser.kept_bytes, parser.is_endless)
             response = parser.finish()
             if response is None:
                 raise EOFError("connection closed before a complete response")
             return response
         finally:
             holder.release()
+            parser.drop()
             writer.transport.abort()
