Try listening addresses again until the daemon has them

Callers and the platform saw daemons that ended with status 1 in 0.3 s when one of their ports was in use: each address was bound once, and any error ended the process with a traceback and no line in the log.

Links now have one place for listening sockets (links/_listening.py). Each address is tried before the first outgoing connection, so that none can take its port, and again every 200 ms in a task of its own; the log says `address_unavailable` once and `listening` with the time since the start of the process, which the metrics have too. The daemon is not ready and its endpoint not announced as ready without front, readiness, directory and peers; it joins all the same. `citrondoord` does the same for its two addresses.

asyncio's accept loop of Python 3.11 goes on through the whole backlog when no descriptor is left, with an error in the log for each place. Our own pauses 100 ms after the first.

Tests that reached into the old server (`_server.close()`, `peers.start()`, the address of ApiServer) use its successor; what they check is unchanged.

--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -53,7 +53,7 @@
       settings: Checked settings.
       clock: Clock of the daemon.
       rng: Random number generator.
-      connector: Opens connections to peers, as `asyncio.open_connection` does;
+      connector: Opens connections to peers, as `links.open_connection` does;
         tests pass one that cuts links.
     """
 
@@ -67,6 +67,7 @@
         "_incarnation",
         "_initial_searchers",
         "_lifecycle",
+        "_listeners",
         "_log",
         "_marks_new_searchers_cold",
         "_parts",
@@ -95,7 +96,7 @@
         settings: schema_settings.DaemonSettings,
         clock: clocks.Clock,
         rng: random.Random,
-        connector=asyncio.open_connection,
+        connector=links.open_connection,
     ):
         self._settings = settings
         self._clock = clock
@@ -111,6 +112,7 @@
             clock, self._report_part, self._on_part_end
         )
         self._stop_signal_count = 0
+        self._listeners = links.Listeners(clock, self._log.info)
         self._build_view()
         self._build_peering(connector)
         self._build_limits()
@@ -136,8 +138,15 @@
         self._handle_signals()
         self._lifecycle.join()
         settings = self._settings
-        await self._peering.start(settings.address, settings.peer_port)
-        await self._api_server.start()
+        # Before the first outgoing connection: it could get one of the ports.
+        address = settings.address
+        self._listeners.open(
+            "peers", address, settings.peer_port, self._peering.server.serve
+        )
+        self._listeners.open(
+            "api", address, settings.http_port, self._api_server.serve
+        )
+        self._peering.connect()
         self._parts.start("configuration", self._configuration_synchronizer.run)
         self._parts.start("tick", self._tick_forever)
         self._parts.start("rate_leases", self._rate_leases.run)
@@ -318,10 +327,7 @@
             settings.operator_key_digest,
         )
         self._api_server = front.ApiServer(
-            front.make_app(handlers),
-            settings.address,
-            settings.http_port,
-            settings.callers,
+            front.make_app(handlers), settings.callers
         )
 
     def _on_cold(self) -> None:
@@ -361,7 +367,7 @@
         waits until the leases of a previous incarnation have ended, and lets
         the token buckets fill.
         """
-        while not self._is_view_ready() and not self._stopping.is_set():
+        while not self._can_serve() and not self._stopping.is_set():
             await asyncio.sleep(POLL_INTERVAL_MS / clocks.MS_PER_S)
         if not self._is_cluster_serving():
             # No peer knows which searchers are warm, so all start cold.
@@ -375,6 +381,13 @@
         while self._clock.now() < ready_at and not self._stopping.is_set():
             await asyncio.sleep(POLL_INTERVAL_MS / clocks.MS_PER_S)
 
+    def _can_serve(self) -> bool:
+        return (
+            self._listeners.is_listening("api")
+            and self._listeners.is_listening("peers")
+            and self._is_view_ready()
+        )
+
     def _is_view_ready(self) -> bool:
         if self._settings.vm not in self._view.catalogue.vms:
             return False
@@ -417,6 +430,7 @@
         the counts to the peers, and closes the links.
         """
         self._lifecycle.leave()
+        self._listeners.cancel()
         self._view.members.set_leaving()
         # Callers may send requests here until the response of /v1/entries that
         # they use expires.
--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -3,8 +3,8 @@
 import asyncio
 import importlib
 import resource
+import socket
 
-from citrondoor import addresses
 from citrondoor import clock as clocks
 from citrondoor import entry
 from citrondoor import limits
@@ -28,6 +28,7 @@
       pool: Has the counters of connections to searchers.
       relay: Has the counters of sends through peers.
       account: Has what messages keep in memory.
+      listeners: Has the times at which the daemon began to listen.
       log: Has the counter of dropped lines.
       clock: Clock of the daemon.
     """
@@ -36,6 +37,7 @@
         "_account",
         "_clock",
         "_dispatcher",
+        "_listeners",
         "_log",
         "_metrics",
         "_pool",
@@ -51,6 +53,7 @@
         pool: links.HttpPool,
         relay: entry.Relay,
         account: limits.MemoryAccount,
+        listeners: links.Listeners,
         log: entry.DecisionLog,
         clock: clocks.Clock,
     ):
@@ -60,16 +63,21 @@
         self._pool = pool
         self._relay = relay
         self._account = account
+        self._listeners = listeners
         self._log = log
         self._metrics = None
         self._server = links.HttpServer(
             self, lambda: links.SMALL_LIMITS, account=account
         )
 
-    async def start(
+    def serve(self, listener: socket.socket) -> None:
+        """Serves the metrics on a listening socket."""
+        self._server.serve(listener)
+
+    async def run(
         self, poller: entry.StorePoller, peers: entry.PeerNetwork
     ) -> None:
-        """Imports the metrics library after a delay and starts to listen."""
+        """Imports the metrics library after a delay, then has metrics."""
         await asyncio.sleep(IMPORT_DELAY_S)
         # The import takes over 100 ms of CPU time; in a thread, the event loop
         # keeps running meanwhile.
@@ -111,8 +119,14 @@
             "Most that the process kept resident, bytes.",
             peak_resident_bytes,
         )
+        for name in ("front", "readiness", "directory", "peers", "metrics"):
+            metrics.add_gauge(
+                f"citrondoor.listening.{name}",
+                "Time from the start of the process to listening, ms; 0 while"
+                " the address is not available.",
+                lambda name=name: self._listeners.listening_ms(name),
+            )
         self._metrics = metrics
-        await self._server.start(*addresses.split_address(settings.metrics))
 
     def summary(self) -> dict[str, int | dict[str, int]]:
         """Returns the counters for the periodic log event `summary`."""
--- a/citrondoor/daemon/command.py
+++ b/citrondoor/daemon/command.py
@@ -12,6 +12,7 @@
 from citrondoor import errors
 from citrondoor import gc_tuning
 from citrondoor import malloc_tuning
+from citrondoor import links
 from citrondoor import telemetry
 from citrondoor.daemon import _assembly
 from citrondoor.daemon import _settings
@@ -53,7 +54,7 @@
       settings: Checked settings.
       rng: Random number generator.
       connector: Opens connections to peers; None means
-        `asyncio.open_connection`.
+        `links.open_connection`.
     """
     telemetry.configure_logs()
     gc_tuning.tune()
@@ -71,6 +72,6 @@
         settings,
         clocks.Clock(),
         rng,
-        connector or asyncio.open_connection,
+        connector or links.open_connection,
     )
     return await daemon.run()
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -45,6 +45,8 @@
 MAX_LOGGED_HEADER_BYTES = 64
 # Interval at which a starting daemon checks whether its view is complete.
 JOIN_POLL_MS = 10
+# Addresses without which the daemon is not ready.
+ADDRESSES_OF_A_READY_DAEMON = ("front", "readiness", "directory", "peers")
 
 
 def read_entry_settings(
@@ -161,6 +163,7 @@
         "_ending",
         "_incarnation",
         "_lifecycle",
+        "_listeners",
         "_log",
         "_metrics",
         "_parts",
@@ -201,6 +204,7 @@
             clock, self._log.write, self._on_part_end
         )
         self._lifecycle = _lifecycle.Lifecycle(self._record_event)
+        self._listeners = links.Listeners(clock, self._log.write)
         self._settings_watch = _settings_watch.SettingsWatch(
             path,
             settings,
@@ -283,6 +287,7 @@
             self._pool,
             self._relay,
             self._account,
+            self._listeners,
             self._log,
             self._clock,
         )
@@ -345,30 +350,40 @@
         )
         self._handle_signals()
         self._lifecycle.join()
+        # Before the first outgoing connection: it could get one of the ports.
+        self._listen()
         self._parts.start("store_poller", self._poller.run)
-        await self._peers.start()
-        await self._caller_server.start(
-            *addresses.split_address(settings.front)
-        )
-        await self._readiness_server.start(
-            *addresses.split_address(settings.readiness)
-        )
-        await self._directory_server.start(
-            *addresses.split_address(settings.directory)
-        )
+        self._peers.connect()
         self._peers.announce_endpoint(self._endpoint(is_ready=False))
         self._parts.start("tick", self._tick_forever)
         self._parts.start("summary", self._summarize_forever)
         self._parts.start("settings_watch", self._watch_settings)
         await self._join()
         self._parts.start(
-            "metrics", lambda: self._metrics.start(self._poller, self._peers)
+            "metrics", lambda: self._metrics.run(self._poller, self._peers)
         )
         await self._stopping.wait()
         await self._leave()
 
+    def _listen(self) -> None:
+        for name, serve in (
+            ("front", self._caller_server.serve),
+            ("readiness", self._readiness_server.serve),
+            ("directory", self._directory_server.serve),
+            ("peers", self._peers.serve),
+            ("metrics", self._metrics.serve),
+        ):
+            address = getattr(self._settings, name)
+            self._listeners.open(name, *addresses.split_address(address), serve)
+
+    def _can_serve(self) -> bool:
+        return self._view.is_complete and all(
+            self._listeners.is_listening(name)
+            for name in ADDRESSES_OF_A_READY_DAEMON
+        )
+
     async def _join(self) -> None:
-        while not self._view.is_complete and not self._stopping.is_set():
+        while not self._can_serve() and not self._stopping.is_set():
             await asyncio.sleep(JOIN_POLL_MS / clocks.MS_PER_S)
         if self._stopping.is_set():
             return
@@ -413,6 +428,7 @@
         grace_s = self._settings.bounds.grace_s
         started_at = asyncio.get_running_loop().time()
         self._lifecycle.leave()
+        self._listeners.cancel()
         answer_ms = int(grace_s * ANSWER_FRACTION * clocks.MS_PER_S)
         self._dispatcher.begin_shutdown(self._clock.now() + answer_ms)
         self._peers.announce_leaving()
--- a/citrondoor/engine/_peering.py
+++ b/citrondoor/engine/_peering.py
@@ -185,9 +185,8 @@
             vm, vm, declared_vm.address, declared_vm.peer_port
         )
 
-    async def start(self, address: str, port: int) -> None:
-        """Listens for peers and dials the seeds."""
-        await self.server.start(address, port)
+    def connect(self) -> None:
+        """Dials the seeds."""
         for seed in self._seeds:
             host, _, seed_port = seed.rpartition(":")
             self._open_link(f"seed/{seed}", "", host, int(seed_port))
--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -8,6 +8,7 @@
 import asyncio
 import functools
 import itertools
+import socket
 from collections.abc import Callable
 
 from citrondoor import addresses
@@ -172,9 +173,12 @@
         """Number of links that are up or being opened."""
         return len(self._links)
 
-    async def start(self) -> None:
-        """Listens for peers and connects to the seeds."""
-        await self._server.start(*self._own_address)
+    def serve(self, listener: socket.socket) -> None:
+        """Accepts links of peers on a listening socket."""
+        self._server.serve(listener)
+
+    def connect(self) -> None:
+        """Connects to the seeds."""
         self._connect_to_seeds()
 
     async def close(self) -> None:
@@ -447,7 +451,7 @@
             host,
             port,
             self._link_settings,
-            asyncio.open_connection,
+            links.open_connection,
             self._on_event,
             self._on_notification,
         )
--- a/citrondoor/front/_server.py
+++ b/citrondoor/front/_server.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import logging
+import socket
 
 import uvicorn
 from uvicorn.protocols.http import httptools_impl
@@ -105,12 +106,10 @@
 
 
 class ApiServer:
-    """Serves the HTTP API on one address and port.
+    """Serves the HTTP API on a listening socket.
 
     Args:
       app: The ASGI application.
-      address: IP address to listen on.
-      port: TCP port; 0 for a free one.
       settings: Timeouts and limits for callers' requests.
 
     Attributes:
@@ -124,8 +123,6 @@
     def __init__(
         self,
         app,
-        address: str,
-        port: int,
         settings: schema_settings.CallerSettings,
     ):
         self.header_timeout_count = 0
@@ -134,8 +131,6 @@
         logging.getLogger("uvicorn").setLevel(logging.ERROR)
         config = uvicorn.Config(
             app,
-            host=address,
-            port=port,
             loop="asyncio",
             http=make_protocol_class(
                 settings.header_timeout_ms,
@@ -154,9 +149,9 @@
         self._server = _Server(config)
         self._task: asyncio.Task | None = None
 
-    async def start(self) -> None:
-        """Starts serving in a background task."""
-        self._task = asyncio.create_task(self._server.serve())
+    def serve(self, listener: socket.socket) -> None:
+        """Serves the connections of a listening socket in a task."""
+        self._task = asyncio.create_task(self._server.serve(sockets=[listener]))
 
     async def wait_port(self) -> int:
         """Waits until the server listens and returns its actual TCP port."""
@@ -170,7 +165,8 @@
         Waits at most SHUTDOWN_TIMEOUT_S.
         """
         self._server.should_exit = True
-        await self._task
+        if self._task is not None:
+            await self._task
 
     def _on_header_timeout(self) -> None:
         self.header_timeout_count += 1
--- a/citrondoor/links/__init__.py
+++ b/citrondoor/links/__init__.py
@@ -11,6 +11,9 @@
 from citrondoor.links._http_server import SMALL_LIMITS
 from citrondoor.links._http_server import HttpServer
 from citrondoor.links._json_client import JsonClient
+from citrondoor.links._listening import Listeners
+from citrondoor.links._listening import open_connection
+from citrondoor.links._listening import open_listener
 from citrondoor.links._peers import PeerLink
 from citrondoor.links._peers import PeerServer
 from citrondoor.links._peers import PeerSettings
@@ -27,6 +30,7 @@
     "HttpPool",
     "HttpServer",
     "JsonClient",
+    "Listeners",
     "OutboundRequest",
     "PeerLink",
     "PeerServer",
@@ -36,4 +40,6 @@
     "SearcherLink",
     "UpstreamCounters",
     "UpstreamPool",
+    "open_connection",
+    "open_listener",
 ]
--- a/citrondoor/links/_connection.py
+++ b/citrondoor/links/_connection.py
@@ -7,6 +7,7 @@
 from citrondoor.codecs import http1
 from citrondoor.codecs import upstreams as codec
 from citrondoor.links import _calls
+from citrondoor.links import _listening
 from citrondoor.schema import declarations
 from citrondoor.schema import serving
 
@@ -227,9 +228,10 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(link.connect_timeout_s):
-                await loop.create_connection(
+                transport, _ = await loop.create_connection(
                     lambda: self._channel, searcher.address, searcher.port
                 )
+            _listening.share_local_port(transport)
         except (OSError, TimeoutError):
             link.on_connect_failed()
             raise
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -13,6 +13,7 @@
 from citrondoor.codecs import http1
 from citrondoor.links import _carried_ids
 from citrondoor.links import _exchanges
+from citrondoor.links import _listening
 from citrondoor.schema import serving
 
 CONNECT_TIMEOUT_S = 1.0
@@ -346,9 +347,10 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await loop.create_connection(
+                transport, _ = await loop.create_connection(
                     lambda: self._channel, upstream.host, upstream.port
                 )
+            _listening.share_local_port(transport)
         except (OSError, TimeoutError):
             self._link.on_connect_failed()
             raise
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -19,9 +19,9 @@
 from citrondoor import clock as clocks
 from citrondoor import limits as limiting
 from citrondoor.codecs import http1
+from citrondoor.links import _listening
 from citrondoor.schema import serving
 
-BACKLOG = 1024
 # Limits until the daemon has read its configuration: bytes of a head and of a
 # body, and timeouts in ms of an incomplete request and of an idle connection.
 DEFAULT_LIMITS = serving.CallerLimits(16_384, 262_144, 5_000, 75_000)
@@ -72,7 +72,6 @@
     Args:
       limits: Limits of a head and of a body.
       account: Where the memory of requests and answers is recorded.
-      on_open: Called with this object.
 
     Attributes:
       disconnected: Completes when the caller disconnects.
@@ -101,7 +100,6 @@
         self,
         limits: serving.CallerLimits,
         account: limiting.MemoryAccount,
-        on_open,
     ):
         # Of requests that are partly received or queued.
         self._received = account.open(serving.Sender.CALLER, self._give_way)
@@ -120,7 +118,6 @@
         self._stop_at: float | None = None
         self.disconnected = asyncio.get_running_loop().create_future()
         self.transport: asyncio.Transport | None = None
-        on_open(self)
 
     def connection_made(self, transport) -> None:
         """Stores the open transport; called by the event loop."""
@@ -396,14 +393,14 @@
 
     __slots__ = (
         "_account",
+        "_acceptor",
         "_channels",
         "_get_limits",
         "_handler",
         "_is_draining",
-        "_listener",
         "_on_error",
-        "_server",
         "_tasks",
+        "accept_failures",
         "active_requests",
     )
 
@@ -418,24 +415,26 @@
         self._handler = handler
         self._get_limits = get_limits
         self._on_error = on_error
-        self._server: asyncio.Server | None = None
-        self._listener: socket.socket | None = None
+        self._acceptor: _listening.Acceptor | None = None
         self._channels: set[_Channel] = set()
         self._tasks: set[asyncio.Task] = set()
         self._is_draining = False
+        self.accept_failures = 0
         self.active_requests = 0
 
     @property
     def port(self) -> int:
         """TCP port on which the server listens."""
-        return self._listener.getsockname()[1]
+        return self._acceptor.port
 
     async def start(self, host: str, port: int) -> None:
         """Starts to listen; port 0 selects a free port."""
-        loop = asyncio.get_running_loop()
-        self._listener = socket.create_server((host, port), backlog=BACKLOG)
-        self._server = await loop.create_server(
-            self._make_channel, sock=self._listener, backlog=BACKLOG
+        self.serve(_listening.open_listener(host, port))
+
+    def serve(self, listener: socket.socket) -> None:
+        """Serves the connections of a listening, non-blocking socket."""
+        self._acceptor = _listening.Acceptor(
+            listener, self._open_channel, self._on_accept_error
         )
 
     def begin_drain(self) -> None:
@@ -457,8 +456,8 @@
             not aborted.
         """
         self._is_draining = True
-        await self._accept_queued()
-        self._server.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
         for channel in list(self._channels):
             channel.finish(min(LATE_REQUEST_MS, timeout_ms))
         if self._tasks:
@@ -466,44 +465,32 @@
                 list(self._tasks), timeout=timeout_ms / clocks.MS_PER_S
             )
 
-    async def _accept_queued(self) -> None:
-        """Accepts the connections that the kernel has queued.
-
-        The kernel resets those that are queued when the listening socket is
-        closed, although their callers may have sent a request.
-        """
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                connection, _ = self._listener.accept()
-            except OSError:
-                # None is queued, or no further one can be opened.
-                return
-            await loop.connect_accepted_socket(self._make_channel, connection)
-
-    def _make_channel(self) -> _Channel:
-        return _Channel(
-            self._get_limits() or DEFAULT_LIMITS, self._account, self._on_open
-        )
-
-    def _on_open(self, channel: _Channel) -> None:
-        task = asyncio.create_task(self._serve(channel))
+    def _open_channel(self, connection: socket.socket) -> None:
+        """Serves an accepted connection; it counts as open at once."""
+        channel = _Channel(self._get_limits() or DEFAULT_LIMITS, self._account)
         self._channels.add(channel)
+        task = asyncio.create_task(self._serve(channel, connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _serve(self, channel: _Channel) -> None:
+    def _on_accept_error(self, error: OSError) -> None:
+        self.accept_failures += 1
+
+    async def _serve(
+        self, channel: _Channel, connection: socket.socket
+    ) -> None:
         """Serves the requests of one connection until it closes."""
-        # This task is started when the protocol object is made; the event loop
-        # calls `connection_made`, which sets the transport, one step later.
-        await asyncio.sleep(0)
+        loop = asyncio.get_running_loop()
         try:
+            await loop.connect_accepted_socket(lambda: channel, connection)
             while await self._serve_one(channel):
                 pass
         finally:
             self._channels.discard(channel)
             channel.release()
-            if channel.transport is not None:
+            if channel.transport is None:
+                connection.close()
+            else:
                 channel.transport.close()
 
     async def _serve_one(self, channel: _Channel) -> bool:
--- a/citrondoor/links/_json_client.py
+++ b/citrondoor/links/_json_client.py
@@ -17,6 +17,7 @@
 from citrondoor import limits
 from citrondoor.codecs import bounded_json
 from citrondoor.codecs import http1
+from citrondoor.links import _listening
 from citrondoor.schema import serving
 
 READ_CHUNK_BYTES = 65_536
@@ -99,7 +100,7 @@
         )
 
     async def _exchange(self, target: bytes) -> http1.Response:
-        reader, writer = await asyncio.open_connection(*self._address)
+        reader, writer = await _listening.open_connection(*self._address)
         holder = self._account.open(
             serving.Sender.STORE,
             functools.partial(
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -14,6 +14,7 @@
 import itertools
 import secrets
 import sys
+import socket
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -21,6 +22,7 @@
 from citrondoor import errors
 from citrondoor import limits
 from citrondoor.codecs import peers as codec
+from citrondoor.links import _listening
 from citrondoor.schema import messages
 from citrondoor.schema import serving
 
@@ -463,15 +465,16 @@
     """
 
     __slots__ = (
+        "_acceptor",
         "_channels",
         "_handler",
         "_handshakes",
         "_on_disconnect",
         "_on_notification",
         "_on_protocol_error",
-        "_server",
         "_settings",
         "_tasks",
+        "accept_failures",
         "bytes_received",
         "bytes_sent",
     )
@@ -489,23 +492,30 @@
         self._on_disconnect = on_disconnect
         self._on_protocol_error = on_protocol_error
         self._on_notification = on_notification
-        self._server: asyncio.Server | None = None
+        self._acceptor: _listening.Acceptor | None = None
         # The newest connection of each peer, by its name.
         self._channels: dict[str, _Channel] = {}
         self._tasks: set[asyncio.Task] = set()
         # Tasks of connections whose handshake is not complete, oldest first.
         self._handshakes: dict[asyncio.Task, None] = {}
+        self.accept_failures = 0
         self.bytes_sent = 0
         self.bytes_received = 0
 
     @property
     def port(self) -> int:
         """TCP port that the server listens on."""
-        return self._server.sockets[0].getsockname()[1]
+        return self._acceptor.port
 
     async def start(self, address: str, port: int) -> None:
         """Starts to listen; port 0 picks a free port."""
-        self._server = await asyncio.start_server(self._accept, address, port)
+        self.serve(_listening.open_listener(address, port))
+
+    def serve(self, listener: socket.socket) -> None:
+        """Accepts links on a listening, non-blocking socket."""
+        self._acceptor = _listening.Acceptor(
+            listener, self._open_streams, self._on_accept_error
+        )
 
     def is_linked(self, name: str) -> bool:
         """Returns whether a peer has a link to this daemon."""
@@ -523,14 +533,29 @@
 
     async def close(self) -> None:
         """Stops listening and closes all links."""
-        self._server.close()
+        if self._acceptor is not None:
+            self._acceptor.close()
         for task in list(self._tasks):
             task.cancel()
 
+    def _on_accept_error(self, error: OSError) -> None:
+        self.accept_failures += 1
+
+    def _open_streams(self, connection: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        protocol = asyncio.StreamReaderProtocol(
+            asyncio.StreamReader(), self._accept
+        )
+        task = asyncio.create_task(
+            loop.connect_accepted_socket(lambda: protocol, connection)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if not self._server.is_serving():
+        if self._acceptor.is_closed:
             # Accepted just before `close`, which could not cancel its task.
             writer.transport.abort()
             return
--- a/tests/engine/test_peering.py
+++ b/tests/engine/test_peering.py
@@ -57,7 +57,7 @@
     nodes = PeeringNode(first), PeeringNode(second)
     ports = {}
     for node in nodes:
-        await node.peering.start(LOOPBACK, 0)
+        await node.peering.server.start(LOOPBACK, 0)
         ports[node.view.vm] = node.peering.server.port
     for node in nodes:
         store = configuration.Store()
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -5,6 +5,7 @@
 
 from citrondoor import clock as clocks
 from citrondoor import entry
+from citrondoor import links
 from citrondoor import membership
 from citrondoor.entry import _peer_network
 from citrondoor.schema import messages
@@ -44,7 +45,8 @@
         self.tick_task = None
 
     async def start(self):
-        await self.peers.start()
+        self.peers.serve(links.open_listener("127.0.0.1", self.port))
+        self.peers.connect()
         self.peers.set_searcher_zones(frozenset("abc"))
         self.peers.announce_endpoint(
             serving.EntryPlace(
--- a/tests/front/test_app.py
+++ b/tests/front/test_app.py
@@ -8,6 +8,7 @@
 import pytest
 
 from citrondoor import front
+from citrondoor import links
 from citrondoor import telemetry
 from citrondoor.schema import settings as schema_settings
 from tests import fakes
@@ -36,13 +37,11 @@
             settings,
             hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
         )
-        self.server = front.ApiServer(
-            front.make_app(handlers), "127.0.0.1", 0, settings
-        )
+        self.server = front.ApiServer(front.make_app(handlers), settings)
         self.port = 0
 
     async def start(self):
-        await self.server.start()
+        self.server.serve(links.open_listener("127.0.0.1", 0))
         self.port = await self.server.wait_port()
 
     async def exchange(self, data: bytes) -> tuple[int, dict]:
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -294,7 +294,7 @@
     """Stops listening after a connection is accepted, before it is served."""
 
     def _accept(self, reader, writer):
-        self._server.close()
+        self._acceptor.close()
         super()._accept(reader, writer)
 
 
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -312,10 +312,14 @@
                 self.zones[number % len(self.zones)],
             )
             self.daemons.append(daemon)
+            self.prepare(daemon)
             await daemon.start()
         for daemon in self.daemons:
             await self.wait_until(lambda daemon=daemon: self.is_ready(daemon))
 
+    def prepare(self, daemon):
+        """Called before each daemon starts; tests override it."""
+
     async def __aexit__(self, *error):
         for daemon in self.daemons:
             if daemon.process.returncode is None:
