Callers' connections have a share of the descriptors

With more callers than the process may have descriptors, all others got none: reads of the store, connections to searchers, the readiness and directory addresses; asyncio logged an error for each place of the backlog.

A refused connection is served instead if a place is free when its request is complete. On the readiness, directory and metrics addresses, 2% each, the oldest connection gives way, so that idle ones don't keep checks out. Counters are in summary and metrics; `connections_turned_away` is logged at most every 5 s.

Before, on with 256 descriptors and 400 callers, tests/platform/test_descriptors.py failed: `orjson.JSONDecodeError: unexpected character`, the lines of asyncio in the log.

--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -28,6 +28,8 @@
       pool: Has the counters of connections to searchers.
       relay: Has the counters of sends through peers.
       account: Has what messages keep in memory.
+      bounds: Have the counters of connections that were turned away, by name
+        of the address.
       listeners: Has the times at which the daemon began to listen.
       log: Has the counter of dropped lines.
       clock: Clock of the daemon.
@@ -35,6 +37,7 @@
 
     __slots__ = (
         "_account",
+        "_bounds",
         "_clock",
         "_dispatcher",
         "_listeners",
@@ -53,6 +56,7 @@
         pool: links.HttpPool,
         relay: entry.Relay,
         account: limits.MemoryAccount,
+        bounds: dict[str, limits.ConnectionBound],
         listeners: links.Listeners,
         log: entry.DecisionLog,
         clock: clocks.Clock,
@@ -63,11 +67,15 @@
         self._pool = pool
         self._relay = relay
         self._account = account
+        self._bounds = bounds
         self._listeners = listeners
         self._log = log
         self._metrics = None
         self._server = links.HttpServer(
-            self, lambda: links.SMALL_LIMITS, account=account
+            self,
+            lambda: links.SMALL_LIMITS,
+            account=account,
+            bound=bounds["metrics"],
         )
 
     def serve(self, listener: socket.socket) -> None:
@@ -155,6 +163,15 @@
             "kept_peak": self._account.peak_bytes,
             "kept": self._by_sender(self._account.kept_bytes_of),
             "gave_way": self._by_sender(self._account.gave_way_counts.get),
+            "turned_away": self.turned_away(),
+        }
+
+    def turned_away(self) -> dict[str, int]:
+        """Returns the connections that were turned away, by address."""
+        return {
+            name: count
+            for name, bound in self._bounds.items()
+            if (count := bound.refused_count + bound.closed_count)
         }
 
     def _by_sender(self, read) -> dict[str, int]:
@@ -231,6 +248,17 @@
                 "Times that messages were dropped for want of memory.",
                 lambda sender=sender: self._account.gave_way_counts[sender],
             )
+        for name, bound in self._bounds.items():
+            yield (
+                f"connections.refused.{name}",
+                "Connections whose request was refused for want of descriptors",
+                lambda bound=bound: bound.refused_count,
+            )
+            yield (
+                f"connections.closed.{name}",
+                "Connections closed for want of descriptors.",
+                lambda bound=bound: bound.closed_count,
+            )
         yield "log_dropped", "Lines left out.", lambda: self._log.dropped_count
 
 
--- a/citrondoor/daemon/command.py
+++ b/citrondoor/daemon/command.py
@@ -11,8 +11,8 @@
 from citrondoor import clock as clocks
 from citrondoor import errors
 from citrondoor import gc_tuning
-from citrondoor import malloc_tuning
 from citrondoor import links
+from citrondoor import malloc_tuning
 from citrondoor import telemetry
 from citrondoor.daemon import _assembly
 from citrondoor.daemon import _settings
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -20,6 +20,7 @@
 from citrondoor import links
 from citrondoor import membership
 from citrondoor import signals
+from citrondoor.daemon import _descriptors
 from citrondoor.daemon import _entry_metrics
 from citrondoor.daemon import _lifecycle
 from citrondoor.daemon import _settings
@@ -156,8 +157,10 @@
     __slots__ = (
         "_account",
         "_adapter",
+        "_bounds",
         "_caller_server",
         "_clock",
+        "_descriptors",
         "_directory_server",
         "_dispatcher",
         "_ending",
@@ -172,6 +175,7 @@
         "_pool",
         "_readiness_server",
         "_relay",
+        "_reported_turned_away",
         "_rng",
         "_searcher_reports",
         "_settings",
@@ -213,6 +217,11 @@
             self._log.write,
         )
         self._account = limits.MemoryAccount(limits.kept_limit_bytes(settings))
+        self._descriptors = limits.DescriptorShares(
+            _descriptors.raise_limit(), settings.max_fds
+        )
+        self._bounds = self._descriptors.bounds()
+        self._reported_turned_away: dict[str, int] = {}
         self._build_view()
         self._build_dispatcher()
         self._build_servers()
@@ -287,6 +296,7 @@
             self._pool,
             self._relay,
             self._account,
+            self._bounds,
             self._listeners,
             self._log,
             self._clock,
@@ -302,11 +312,13 @@
             self._caller_limits,
             self._on_request_error,
             self._account,
+            self._bounds["front"],
         )
         self._readiness_server = links.HttpServer(
             self._adapter.make_readiness_handler(lambda: self._is_ready),
             lambda: links.SMALL_LIMITS,
             account=self._account,
+            bound=self._bounds["readiness"],
         )
         self._directory_server = links.HttpServer(
             self._adapter.make_directory_handler(
@@ -314,6 +326,7 @@
             ),
             lambda: links.SMALL_LIMITS,
             account=self._account,
+            bound=self._bounds["directory"],
         )
 
     @property
@@ -347,6 +360,8 @@
             zone=settings.zone,
             seeds=settings.seeds,
             authenticated_peers=bool(settings.peer_key),
+            descriptors=self._descriptors.limit,
+            caller_connections=self._bounds["front"].max_served,
         )
         self._handle_signals()
         self._lifecycle.join()
@@ -416,6 +431,20 @@
                 upstream_revision=self._view.registry.revision,
                 **self._metrics.summary(),
             )
+            self._report_turned_away()
+
+    def _report_turned_away(self) -> None:
+        turned_away = self._metrics.turned_away()
+        if turned_away == self._reported_turned_away:
+            return
+        self._reported_turned_away = turned_away
+        self._log.write(
+            "connections_turned_away",
+            total=turned_away,
+            limits={n: b.max_served for n, b in self._bounds.items()},
+            descriptors=self._descriptors.limit,
+            remedy="add daemons, or raise `max_fds` and RLIMIT_NOFILE",
+        )
 
     async def _leave(self) -> None:
         """Shuts down; accepted requests have `ANSWER_FRACTION` of `grace_s`.
--- a/citrondoor/limits/__init__.py
+++ b/citrondoor/limits/__init__.py
@@ -2,6 +2,9 @@
 
 from citrondoor.limits._concurrency import ConcurrencyLimiter
 from citrondoor.limits._concurrency import OfferResult
+from citrondoor.limits._descriptors import Admission
+from citrondoor.limits._descriptors import ConnectionBound
+from citrondoor.limits._descriptors import DescriptorShares
 from citrondoor.limits._leases import Borrower
 from citrondoor.limits._leases import Lender
 from citrondoor.limits._memory_account import BYTES_PER_MB
@@ -21,9 +24,12 @@
     "BYTES_PER_MB",
     "MAX_OWNERS",
     "STARTUP_LEASE_WAIT_MS",
+    "Admission",
     "Borrower",
     "ConcurrencyLimiter",
+    "ConnectionBound",
     "CustomerRateLimiter",
+    "DescriptorShares",
     "Holder",
     "Lender",
     "MemoryAccount",
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -41,6 +41,8 @@
 # Once the server no longer listens, a connection without a request stays open
 # for this long: its caller may have connected or sent a request just before.
 LATE_REQUEST_MS = 300
+# Time limit of each wait for the request of a connection beyond the bound.
+SURPLUS_TIMEOUT_MS = 1000
 # Type and byte offset of `tcpi_rtt` (microseconds) in Linux's
 # `struct tcp_info`.
 _TCP_INFO_RTT = struct.Struct("I")
@@ -65,6 +67,12 @@
     def refuse(self, error: http1.ProtocolError) -> http1.Response:
         """Returns the response to a malformed, oversized or stalled request."""
 
+    def turn_away(self, request: http1.Request) -> http1.Response:
+        """Returns the refusal of a request on a connection beyond the bound.
+
+        Handlers of servers whose bound allows no such connection have none.
+        """
+
 
 class _Channel(asyncio.Protocol):
     """Parses the requests of one connection and queues them.
@@ -362,6 +370,12 @@
             self.disconnected.set_result(None)
         self._wake()
 
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._mark_disconnected()
+        if self.transport is not None:
+            self.transport.abort()
+
     def finish(self, linger_ms: int) -> None:
         """Closes the connection after the requests that have begun.
 
@@ -389,16 +403,19 @@
         run.
       account: Where the memory of requests and answers is recorded; None leaves
         them to the limits of each connection.
+      bound: Bounds the open connections; None for no bound.
     """
 
     __slots__ = (
         "_account",
         "_acceptor",
+        "_bound",
         "_channels",
         "_get_limits",
         "_handler",
         "_is_draining",
         "_on_error",
+        "_surplus",
         "_tasks",
         "accept_failures",
         "active_requests",
@@ -410,13 +427,18 @@
         get_limits: Callable[[], serving.CallerLimits | None] = lambda: None,
         on_error: Callable[[Exception], None] = lambda error: None,
         account: limiting.MemoryAccount | None = None,
+        bound: limiting.ConnectionBound | None = None,
     ):
         self._account = account or limiting.MemoryAccount(sys.maxsize)
+        self._bound = bound
         self._handler = handler
         self._get_limits = get_limits
         self._on_error = on_error
         self._acceptor: _listening.Acceptor | None = None
-        self._channels: set[_Channel] = set()
+        # Open connections, the oldest first.
+        self._channels: dict[_Channel, None] = {}
+        # Those of them that are beyond the bound.
+        self._surplus: set[_Channel] = set()
         self._tasks: set[asyncio.Task] = set()
         self._is_draining = False
         self.accept_failures = 0
@@ -467,12 +489,43 @@
 
     def _open_channel(self, connection: socket.socket) -> None:
         """Serves an accepted connection; it counts as open at once."""
+        admission = self._admit()
+        if admission is limiting.Admission.CLOSE:
+            connection.close()
+            return
         channel = _Channel(self._get_limits() or DEFAULT_LIMITS, self._account)
-        self._channels.add(channel)
+        if admission is limiting.Admission.REPLACE:
+            self._close_oldest()
+        elif admission is limiting.Admission.REFUSE:
+            self._surplus.add(channel)
+        self._channels[channel] = None
         task = asyncio.create_task(self._serve(channel, connection))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _admit(self) -> limiting.Admission:
+        if self._bound is None:
+            return limiting.Admission.SERVE
+        surplus_count = len(self._surplus)
+        return self._bound.admit(
+            len(self._channels) - surplus_count, surplus_count
+        )
+
+    def _close_oldest(self) -> None:
+        channel = next(iter(self._channels))
+        del self._channels[channel]
+        channel.abort()
+
+    def _may_serve(self, channel: _Channel) -> bool:
+        """Serves a connection beyond the bound if another has closed."""
+        if channel not in self._surplus:
+            return True
+        served_count = len(self._channels) - len(self._surplus)
+        if served_count >= self._bound.max_served:
+            return False
+        self._surplus.discard(channel)
+        return True
+
     def _on_accept_error(self, error: OSError) -> None:
         self.accept_failures += 1
 
@@ -486,7 +539,8 @@
             while await self._serve_one(channel):
                 pass
         finally:
-            self._channels.discard(channel)
+            self._channels.pop(channel, None)
+            self._surplus.discard(channel)
             channel.release()
             if channel.transport is None:
                 connection.close()
@@ -496,9 +550,14 @@
     async def _serve_one(self, channel: _Channel) -> bool:
         """Serves one request; returns whether the connection stays open."""
         limits = self._get_limits() or DEFAULT_LIMITS
+        idle_timeout_ms = limits.idle_timeout_ms
+        request_timeout_ms = limits.header_timeout_ms
+        if channel in self._surplus:
+            idle_timeout_ms = min(idle_timeout_ms, SURPLUS_TIMEOUT_MS)
+            request_timeout_ms = min(request_timeout_ms, SURPLUS_TIMEOUT_MS)
         try:
             request = await channel.next_request(
-                limits.idle_timeout_ms, limits.header_timeout_ms
+                idle_timeout_ms, request_timeout_ms
             )
         except http1.ProtocolError as error:
             response = self._handler.refuse(error)
@@ -508,6 +567,12 @@
             return False
         if request is None:
             return False
+        if not self._may_serve(channel):
+            self._bound.record_refusal()
+            response = self._handler.turn_away(request)
+            channel.transport.write(http1.encode_response(response, False))
+            await channel.drain(SURPLUS_TIMEOUT_MS)
+            return False
         # A coroutine of its own, which keeps neither the request nor the
         # response while a slow caller reads.
         keeps_alive = await self._answer(channel, request)
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -13,8 +13,8 @@
 import hmac
 import itertools
 import secrets
-import sys
 import socket
+import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
 
--- a/citrondoor/platform/_callers.py
+++ b/citrondoor/platform/_callers.py
@@ -79,6 +79,15 @@
         self._on_answer(response.status, self._clock.now() - arrived_at)
         return response
 
+    def turn_away(self, request: http1.Request) -> http1.Response:
+        """Returns the refusal of a request on a connection beyond the bound."""
+        decoded = decode_request(request, self._clock.now())
+        if isinstance(decoded, messages.Refusal):
+            return encode_answer(decoded)
+        response = encode_answer(refusals.too_many_connections())
+        response.headers.append((_headers.REQUEST_ID, decoded.request_id))
+        return response
+
     def refuse(self, error: http1.ProtocolError) -> http1.Response:
         """Returns the response to a request that could not be parsed."""
         refusal = _make_refusal(error)
--- a/citrondoor/refusals.py
+++ b/citrondoor/refusals.py
@@ -14,6 +14,7 @@
 NOT_READY_RETRY_AFTER_MS = 500
 UNAVAILABLE_RETRY_AFTER_MS = 250
 MEMORY_RETRY_AFTER_MS = 500
+CONNECTIONS_RETRY_AFTER_MS = 1000
 
 
 def malformed(detail: str, remedy: str) -> messages.Refusal:
@@ -144,6 +145,17 @@
     )
 
 
+def too_many_connections() -> messages.Refusal:
+    """The daemon has its maximum number of callers' connections."""
+    return messages.Refusal(
+        _Kind.OVERLOADED,
+        "this entry has no room for another connection",
+        "send the same request again later, or to another entry",
+        _NO,
+        CONNECTIONS_RETRY_AFTER_MS,
+    )
+
+
 def leaving() -> messages.Refusal:
     """The daemon is shutting down."""
     return messages.Refusal(
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -33,14 +33,23 @@
     def refuse(self, error):
         return http1.Response(error.status, [], b"")
 
+    def turn_away(self, request):
+        return http1.Response(503, [], b"")
+
 
 STARTED_SERVERS: list[links.HttpServer] = []
 
 
 async def start(
-    handler, on_error=lambda error: None, account=None, caller_limits=LIMITS
+    handler,
+    on_error=lambda error: None,
+    account=None,
+    caller_limits=LIMITS,
+    bound=None,
 ) -> links.HttpServer:
-    server = links.HttpServer(handler, lambda: caller_limits, on_error, account)
+    server = links.HttpServer(
+        handler, lambda: caller_limits, on_error, account, bound
+    )
     await server.start("127.0.0.1", 0)
     STARTED_SERVERS.append(server)
     return server
@@ -432,6 +441,41 @@
     run(body())
 
 
+async def read_status(reader, timeout_s=2.0) -> bytes:
+    """Returns the status of an answer; empty if closed without one."""
+    async with asyncio.timeout(timeout_s):
+        try:
+            return (await reader.read(65536)).partition(b" ")[2][:3]
+        except ConnectionResetError:
+            return b""
+
+
+def test_a_connection_beyond_the_bound_is_refused_and_closed():
+    # Callers took the descriptors that searchers, peers and the store need.
+    async def body():
+        bound = limits.ConnectionBound(2, 1)
+        handler = EchoHandler()
+        server = await start(handler, bound=bound)
+        connections = []
+        for _ in range(4):
+            connections.append(await connect(server))
+            await asyncio.sleep(0.02)
+        for _, writer in connections:
+            writer.write(GET)
+        statuses = [await read_status(reader) for reader, _ in connections]
+        assert statuses == [b"200", b"200", b"503", b""]
+        assert await connections[2][0].read() == b""
+        assert len(handler.requests) == 2
+        assert (bound.refused_count, bound.closed_count) == (1, 1)
+        connections[0][1].close()
+        await asyncio.sleep(0.02)
+        assert (await exchange(server, GET)).startswith(b"HTTP/1.1 200 ")
+        for _, writer in connections:
+            writer.close()
+
+    run(body())
+
+
 def test_a_refusal_arrives_although_the_caller_goes_on_sending():
     async def body():
         server = await start(EchoHandler())
@@ -445,3 +489,34 @@
         return answer
 
     assert run(body()).startswith(b"HTTP/1.1 431 ")
+
+    run(body())
+
+
+def test_a_surplus_connection_is_served_when_another_has_closed():
+    async def body():
+        server = await start(EchoHandler(), bound=limits.ConnectionBound(1, 1))
+        _, first = await connect(server)
+        reader, second = await connect(server)
+        await asyncio.sleep(0.02)
+        first.close()
+        await asyncio.sleep(0.02)
+        for _ in range(2):
+            second.write(GET)
+            assert await read_status(reader) == b"200"
+        second.close()
+
+    run(body())
+
+
+def test_the_oldest_connection_gives_way_without_surplus_connections():
+    # Idle connections to the readiness address must not keep checks out.
+    async def body():
+        server = await start(EchoHandler(), bound=limits.ConnectionBound(3, 0))
+        idle = [await connect(server) for _ in range(5)]
+        assert (await exchange(server, GET)).startswith(b"HTTP/1.1 200 ")
+        assert await idle[0][0].read() == b""
+        for _, writer in idle:
+            writer.close()
+
+    run(body())
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -142,6 +142,9 @@
       ports: Ports for callers, readiness, directory, peers and metrics.
       grace_s: Setting `bounds.grace_s`, in seconds.
       zone: Its availability zone.
+
+    Attributes:
+      prefix: Command that starts the process as its arguments.
     """
 
     def __init__(
@@ -167,11 +170,13 @@
         self.settings_path = folder / f"{name}.yaml"
         self.settings_path.write_text(yaml.safe_dump(settings))
         self.log_path = folder / f"{name}.log"
+        self.prefix: list[str] = []
         self.process = None
 
     async def start(self, command=("-m", "citrondoor.platform")):
         with self.log_path.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
+                *self.prefix,
                 sys.executable,
                 *command,
                 "--settings",
