Find lost members again after a partition

Cause: a side that still had a peer never went back to the seeds nor to members that it took for dead. Fix: each daemon tries one address a second, of dead members and of seeds at which no member is alive; the heartbeats let both sides refute that they are dead. A first heartbeat on a link carries the sender's record, for a peer that does not know it. New seeds are tried too.

--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -57,6 +57,11 @@
 VIEW_REQUEST_GAP_MS = 100
 # Timeout of a request to a peer, and of waiting for a link to come up.
 PEER_REQUEST_TIMEOUT_MS = 500
+# A link to a member that was lost, or to a seed, is given up if the member is
+# not alive by then: a connection, and heartbeats in both directions.
+REJOIN_TIMEOUT_MS = 2000
+_SEED_PREFIX = "seed/"
+_REJOIN_KEY = "rejoin"
 
 
 class PeerNetwork:
@@ -71,10 +76,12 @@
       clock: Clock of the daemon.
       log: Log of decisions.
       account: Where the memory of peers' messages is recorded.
+      connector: Opens a connection; tests replace it to simulate lost links.
     """
 
     __slots__ = (
         "_clock",
+        "_connector",
         "_disconnect_listeners",
         "_has_received_heartbeat",
         "_heartbeat_numbers",
@@ -86,9 +93,12 @@
         "_links",
         "_log",
         "_members",
+        "_newly_linked",
         "_notification_handlers",
         "_outage_detector",
         "_own_address",
+        "_rejoin_schedule",
+        "_rejoin_started_at",
         "_searcher_zones",
         "_seeds",
         "_server",
@@ -110,8 +120,12 @@
         clock: clocks.Clock,
         log: _decision_log.DecisionLog,
         account: limits.MemoryAccount | None = None,
+        connector: links.Connector = links.open_connection,
     ):
         self._settings = settings
+        self._connector = connector
+        self._rejoin_schedule = membership.RejoinSchedule(settings.vm)
+        self._rejoin_started_at = 0
         self._seeds = settings.seeds
         self._own_address = addresses.split_address(settings.peers)
         self._view = view
@@ -133,6 +147,9 @@
         )
         self._links: dict[str, links.PeerLink] = {}
         self._tasks: dict[str, asyncio.Task] = {}
+        # Peers to which no heartbeat was sent on the link that is up: they may
+        # not know this daemon.
+        self._newly_linked: set[str] = set()
         self._server = links.PeerServer(
             self._link_settings,
             self._answer,
@@ -286,8 +303,7 @@
     def set_seeds(self, seeds: list[str]) -> None:
         """Sets the seed addresses, without connecting to them.
 
-        They are used at the next change of a member's state or endpoint if no
-        peer is known then.
+        `tick` tries those at whose address no member is known to be alive.
         """
         self._seeds = seeds
 
@@ -394,6 +410,51 @@
         if self._members.version != self._linked_version:
             self._linked_version = self._members.version
             self._update_links(now)
+        self._find_lost_members(now)
+
+    def _find_lost_members(self, now: int) -> None:
+        """Opens a link to a lost member or a seed, one at a time.
+
+        The other side may take this daemon for dead as well; the heartbeats on
+        the link let both refute it.
+        """
+        link = self._links.get(_REJOIN_KEY)
+        if link is not None:
+            is_alive = (
+                link.is_connected
+                and self._members.state_of(link.name)
+                == messages.MemberState.ALIVE
+            )
+            if not is_alive and now - self._rejoin_started_at < (
+                REJOIN_TIMEOUT_MS
+            ):
+                return
+            self._close_link(_REJOIN_KEY)
+        if not self._rejoin_schedule.is_due(now):
+            return
+        address = self._rejoin_schedule.choose(self._lost_addresses(), now)
+        if address is not None:
+            self._rejoin_started_at = now
+            self._open_link(_REJOIN_KEY, "", *address)
+
+    def _lost_addresses(self) -> set[tuple[str, int]]:
+        """Returns where a member was or may be, and none is known alive.
+
+        A daemon that knows no peer has links to all seeds already.
+        """
+        if any(key.startswith(_SEED_PREFIX) for key in self._links):
+            return set()
+        lost = {addresses.split_address(seed) for seed in self._seeds}
+        alive = {self._own_address}
+        for member in self._members.all_members:
+            if member.place is None:
+                continue
+            address = (member.place.host, member.place.peer_port)
+            if member.state == messages.MemberState.DEAD:
+                lost.add(address)
+            else:
+                alive.add(address)
+        return lost - alive
 
     def _update_links(self, now: int) -> None:
         known = [
@@ -415,7 +476,9 @@
             endpoint = self._members.endpoint_of(name)
             self._open_link(name, name, endpoint.host, endpoint.peer_port)
         for name in list(self._links):
-            is_seed = name.startswith("seed/")
+            if name == _REJOIN_KEY:
+                continue
+            is_seed = name.startswith(_SEED_PREFIX)
             if (is_seed and peers) or (not is_seed and name not in peers):
                 self._close_link(name)
         if not peers:
@@ -438,7 +501,7 @@
         for seed in self._seeds:
             address = addresses.split_address(seed)
             if address != self._own_address:
-                self._open_link(f"seed/{seed}", "", *address)
+                self._open_link(f"{_SEED_PREFIX}{seed}", "", *address)
 
     def _open_link(self, key: str, name: str, host: str, port: int) -> None:
         link = self._links.get(key)
@@ -451,7 +514,7 @@
             host,
             port,
             self._link_settings,
-            links.open_connection,
+            self._connector,
             self._on_event,
             self._on_notification,
         )
@@ -475,7 +538,7 @@
                 await link.wait_connected()
             sent_at = self._clock.now()
             heartbeat = self._make_heartbeat(
-                link.name, len(self._members.all_members) == 1
+                link.name, self._is_joining(link.name)
             )
             reply = await link.request(envelopes.wrap(heartbeat))
             await self._apply_reply(envelopes.unwrap(reply), link, sent_at)
@@ -489,6 +552,11 @@
                 "heartbeat_failed", peer=link.name, error=repr(error)
             )
 
+    def _is_joining(self, peer: str) -> bool:
+        """Whether to ask a peer for all members that it knows."""
+        is_unknown = self._members.state_of(peer) is None
+        return is_unknown or len(self._members.all_members) == 1
+
     async def _apply_reply(
         self, heartbeat: messages.EntryBeat, link: links.PeerLink, sent_at: int
     ) -> None:
@@ -544,8 +612,11 @@
         self, peer: str, is_joining: bool
     ) -> messages.EntryBeat:
         members = self._members
+        is_first = peer in self._newly_linked
+        self._newly_linked.discard(peer)
         has_record = (
             members.take_own_update(peer)
+            or is_first
             or is_joining
             or next(self._heartbeat_numbers) % FULL_HEARTBEAT_EVERY == 0
         )
@@ -582,7 +653,10 @@
 
     def _on_event(self, kind: str, detail: str) -> None:
         self._log.write(kind, detail=detail)
+        if kind == "link_up":
+            self._newly_linked.add(detail)
         if kind == "link_down":
+            self._newly_linked.discard(detail)
             self._members.forget_sent(detail)
             for listener in self._link_down_listeners:
                 listener(detail)
--- a/citrondoor/links/__init__.py
+++ b/citrondoor/links/__init__.py
@@ -14,6 +14,7 @@
 from citrondoor.links._listening import Listeners
 from citrondoor.links._listening import open_connection
 from citrondoor.links._listening import open_listener
+from citrondoor.links._peers import Connector
 from citrondoor.links._peers import PeerLink
 from citrondoor.links._peers import PeerServer
 from citrondoor.links._peers import PeerSettings
@@ -24,6 +25,7 @@
 __all__ = [
     "SMALL_LIMITS",
     "Call",
+    "Connector",
     "Exchange",
     "ExchangeOutcome",
     "ExchangeResult",
--- a/citrondoor/membership/__init__.py
+++ b/citrondoor/membership/__init__.py
@@ -6,10 +6,12 @@
 from citrondoor.membership._neighbours import choose_cross_zone_peers
 from citrondoor.membership._neighbours import choose_neighbours
 from citrondoor.membership._pause_detector import PauseDetector
+from citrondoor.membership._rejoin import RejoinSchedule
 
 __all__ = [
     "Members",
     "PauseDetector",
+    "RejoinSchedule",
     "choose_cross_zone_peers",
     "choose_endpoints",
     "choose_entry_vms",
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -19,6 +19,8 @@
     """A daemon's peer network and view, on the loopback interface."""
 
     def __init__(self, number, ports, seeds, incarnation=None):
+        self.writers = []
+        self.cut_ports = set()
         self.port = ports[number]
         zone = "abc"[number % 3]
         self.settings = serving.EntrySettings(
@@ -41,9 +43,23 @@
             self.view,
             self.clock,
             test_dispatcher.FakeLog(),
+            connector=self.connect,
         )
         self.tick_task = None
 
+    async def connect(self, host, port):
+        if port in self.cut_ports:
+            raise OSError("the network is cut")
+        reader, writer = await asyncio.open_connection(host, port)
+        self.writers.append((port, writer))
+        return reader, writer
+
+    def cut_off(self, ports):
+        self.cut_ports = set(ports)
+        for port, writer in self.writers:
+            if port in self.cut_ports:
+                writer.transport.abort()
+
     async def start(self):
         self.peers.serve(links.open_listener("127.0.0.1", self.port))
         self.peers.connect()
@@ -478,3 +494,46 @@
         assert set(disconnected) == {"vm-1"}
 
     run_cluster(body)
+
+
+def cut_apart(nodes, side_size):
+    sides = (nodes[:side_size], nodes[side_size:])
+    for side, other_side in (sides, sides[::-1]):
+        for node in side:
+            node.cut_off(other.port for other in other_side)
+
+
+def count_members(nodes):
+    return {len(node.peers.live_vms()) for node in nodes}
+
+
+@pytest.mark.parametrize(("count", "side_size"), [(5, 2), (16, 5)])
+def test_two_sides_of_a_cut_become_one_cluster_again(count, side_size):
+    async def body(nodes, ports, seeds):
+        cut_apart(nodes, side_size)
+        await wait_until(
+            lambda: (
+                count_members(nodes[:side_size]) == {side_size}
+                and count_members(nodes[side_size:]) == {count - side_size}
+            ),
+            10,
+        )
+        for node in nodes:
+            node.cut_off([])
+        await wait_until(lambda: count_members(nodes) == {count}, 5.0)
+
+    run_cluster(body, count, seeds_of=lambda ports: ports[:3])
+
+
+def test_seeds_that_replaced_all_others_are_tried_while_peers_are_known():
+    async def body(nodes, ports, seeds):
+        other = Node(4, [*ports, *deployment.free_ports(2)], [])
+        await other.start()
+        try:
+            for node in nodes:
+                node.peers.set_seeds([f"127.0.0.1:{other.port}"])
+            await wait_until(lambda: count_members([*nodes, other]) == {4}, 5.0)
+        finally:
+            await other.stop()
+
+    run_cluster(body)
