Do not fail a request for a peer whose record has no endpoint

A daemon that restarts is known by a record without an endpoint until it announces one. The test failed before: 'NoneType' object has no attribute 'zone'.

--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -294,12 +294,18 @@
         return [
             name
             for name, link in self._links.items()
-            if link.is_connected
-            and self._members.state_of(name) == messages.MemberState.ALIVE
-            and self._members.endpoint_of(name).zone == zone
-            and self._members.endpoint_of(name).is_ready
+            if link.is_connected and self._is_ready_in(zone, name)
         ]
 
+    def _is_ready_in(self, zone: str, name: str) -> bool:
+        endpoint = self._members.endpoint_of(name)
+        return (
+            endpoint is not None
+            and endpoint.is_ready
+            and endpoint.zone == zone
+            and self._members.state_of(name) == messages.MemberState.ALIVE
+        )
+
     def set_seeds(self, seeds: list[str]) -> None:
         """Sets the seed addresses, without connecting to them.
 
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -257,6 +257,19 @@
     run_cluster(body)
 
 
+def test_a_peer_that_restarted_and_has_no_endpoint_yet_is_not_reachable():
+    async def body(nodes, ports, seeds):
+        peers = nodes[0].peers
+        await wait_until(lambda: peers.reachable_in("b") == ["vm-1"])
+        restarted = messages.Member(
+            "vm-1", 2**60, 0, messages.MemberState.ALIVE, 0
+        )
+        peers.members.merge_updates([restarted], "vm-2", 0)
+        assert peers.reachable_in("b") == []
+
+    run_cluster(body)
+
+
 class SingleDaemon:
     """A peer network without links; the test records the store reads."""
 
