Test of a full pipe: wait for the log's thread to end

test_a_line_that_was_cut_off_is_ended_before_the_next failed in 7 of 12 runs beside load ('assert b'{' == b'\n''): the thread of the test before still wrote, into the descriptor number that the next pipe had got. Nothing else changed.

--- a/tests/entry/test_decision_log.py
+++ b/tests/entry/test_decision_log.py
@@ -71,7 +71,10 @@
         log.write("summary")
     log.close(timeout_s=0.1)
     assert log.dropped_count > 0
-    os.read(pipe[0], 65536)
+    # Else the thread would write to the next test's file of the same number.
+    os.close(pipe[0])
+    log.close(timeout_s=5.0)
+    assert not log._thread.is_alive()
 
 
 def test_a_line_that_was_cut_off_is_ended_before_the_next(pipe):
