Send no request that waited for a connection to a searcher out of use

Cause: when a searcher was no longer listed as usable, the pool closed only its idle connections; exchanges that waited for one went on being sent. Fix: the link knows whether its searcher is in use. One check stands where a request is about to be written; the queue ends as unsent, so that another searcher gets it, whatever the reason: leaving by the store, by its own word or a peer's, zone taken out, gone.

Evidence: before, all 45 requests reached the searcher (assert 45 < 40), and one that was assigned after it left was sent (ANSWERED instead of UNSENT).

--- a/citrondoor/links/_http_pool.py
+++ b/citrondoor/links/_http_pool.py
@@ -43,6 +43,7 @@
         "_on_unreachable",
         "_shard_backends",
         "_unconnectable_count",
+        "_usable_keys",
         "_vm",
         "_zone",
         "counters",
@@ -71,6 +72,8 @@
         self._account = account
         self._links: dict[tuple, _http_searcher.HttpSearcherLink] = {}
         self._links_by_token: dict[int, _http_searcher.HttpSearcherLink] = {}
+        # Keys of the searchers that may get requests; None until they are set.
+        self._usable_keys: frozenset[tuple] | None = None
         self._unconnectable_count = 0
         self.counters = _http_searcher.HttpCounters()
 
@@ -119,8 +122,8 @@
     ) -> None:
         """Sets the usable searchers and preopens connections to new ones.
 
-        Idle connections to searchers that are no longer listed are closed, and
-        their links without open connections are removed.
+        Searchers that are no longer listed get no request, also none that waits
+        for a connection. Their links without open connections are removed.
 
         Args:
           upstreams: The searchers.
@@ -142,9 +145,11 @@
                     for _ in range(min(PREOPENED_CONNECTIONS, limit)):
                         link.dial()
             link.set_max_connections(limit)
+            link.set_in_use(True)
+        self._usable_keys = frozenset(upstreams_by_key)
         for key in [key for key in self._links if key not in upstreams_by_key]:
             link = self._links[key]
-            link.close_all_idle()
+            link.set_in_use(False)
             if not link.open_count:
                 del self._links[key]
         self._count_unconnectable()
@@ -156,6 +161,8 @@
         link = self._links.get(_link_key(upstream))
         if link is None:
             link = self._add_link(upstream, self._own_limit(upstream))
+            if self._usable_keys is not None:
+                link.set_in_use(_link_key(upstream) in self._usable_keys)
         self._links_by_token[exchange.token] = link
         link.submit(exchange)
 
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -361,9 +361,10 @@
         if self.exchange is None and not await self._wait_idle():
             return False
         exchange = self.exchange
-        if not self._channel.is_usable:
-            # Bytes arrived or the connection failed after the exchange was
-            # assigned. It ends as unsent, or on another connection.
+        if not self._channel.is_usable or not self._link.is_in_use:
+            # Bytes arrived, the connection failed or the searcher went out of
+            # use after the exchange was assigned. It ends as unsent, or on
+            # another connection.
             self._link.requeue(self)
             return False
         self._link.record_carried(exchange, self._carried_ids)
@@ -419,6 +420,7 @@
         "_connections",
         "_counters",
         "_idle",
+        "_is_in_use",
         "_max_connections",
         "_on_malformed",
         "_on_unreachable",
@@ -440,6 +442,7 @@
     ):
         self.upstream = upstream
         self._max_connections = max_connections
+        self._is_in_use = True
         self.account = account
         self._on_malformed = on_malformed
         self._codec = codec
@@ -462,6 +465,11 @@
         """Limit on connections that are open or being opened."""
         return self._max_connections
 
+    @property
+    def is_in_use(self) -> bool:
+        """Whether the searcher may get requests."""
+        return self._is_in_use
+
     def set_max_connections(self, limit: int) -> None:
         """Sets the limit; connections beyond it close once they are idle."""
         self._max_connections = limit
@@ -476,6 +484,10 @@
         becomes idle; a new one is opened if the limit allows. Without an open
         connection and with a limit of 0, the exchange ends at once, as unsent.
         """
+        if not self._is_in_use:
+            self._queued.append(exchange)
+            self.end_queued()
+            return
         connection = self._pop_idle(exchange.outbound)
         if connection is not None:
             connection.assign(exchange)
@@ -543,10 +555,23 @@
         for connection in list(self._connections):
             connection.abort()
 
-    def close_all_idle(self) -> None:
-        """Closes all idle connections of a searcher that is no longer used."""
+    def set_in_use(self, is_in_use: bool) -> None:
+        """Sets whether the searcher may get requests.
+
+        If not, idle connections are closed, and no exchange is sent any more:
+        those that wait end as unsent, so that another searcher gets them.
+        """
+        self._is_in_use = is_in_use
+        if is_in_use:
+            return
         for connection in list(self._idle):
             connection.abort()
+        # Called later, as the caller may be about to end an exchange.
+        asyncio.get_running_loop().call_soon(self._end_queued_if_not_in_use)
+
+    def _end_queued_if_not_in_use(self) -> None:
+        if not self._is_in_use:
+            self.end_queued()
 
     def encode(self, exchange: _exchanges.Exchange) -> bytes:
         """Returns the bytes of an exchange's request.
@@ -660,6 +685,9 @@
             )
         if not self._queued:
             return
+        if not self._is_in_use:
+            self.end_queued()
+            return
         if (
             connection.replace_on_close
             and len(self._connections) < self._max_connections
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -339,6 +339,40 @@
     run(answer_slowly, body)
 
 
+def test_a_searcher_that_goes_out_of_use_gets_no_request_that_waits():
+    async def answer_slowly(request, writer):
+        await asyncio.sleep(0.1)
+        writer.write(encode_answer(request))
+
+    async def body(harness):
+        harness.pool.set_upstreams([harness.upstream], {}, frozenset())
+        results = [harness.send(token) for token in range(40)]
+        await asyncio.sleep(0.05)
+        harness.pool.set_upstreams([], {}, frozenset())
+        results += [harness.send(token) for token in range(40, 45)]
+        outcomes = [(await result).outcome for result in results]
+        sent_count = outcomes.count(OUTCOME.ANSWERED)
+        assert outcomes.count(OUTCOME.UNSENT) == 45 - sent_count
+        assert sent_count == len(harness.searcher.requests) < 40
+        # Back in use, for example as its zone returns.
+        harness.pool.set_upstreams([harness.upstream], {}, frozenset())
+        assert (await harness.send(50)).outcome == OUTCOME.ANSWERED
+
+    run(answer_slowly, body)
+
+
+def test_a_request_that_was_assigned_is_not_sent_once_its_searcher_left():
+    async def body(harness):
+        harness.pool.set_upstreams([harness.upstream], {}, frozenset())
+        await harness.send(1)
+        result = harness.send(2)
+        harness.pool.set_upstreams([], {}, frozenset())
+        assert (await result).outcome == OUTCOME.UNSENT
+        assert len(harness.searcher.requests) == 1
+
+    run(answer, body)
+
+
 def test_connection_close_makes_the_next_request_open_a_new_connection():
     async def close(request, writer):
         writer.write(encode_answer(request, extra=b"connection: close\r\n"))
