--- a/tests/soak/daemon_faults.py
+++ b/tests/soak/daemon_faults.py
@@ -123,6 +123,7 @@
         else:
             daemon.send_signal(signal.SIGTERM)
             await self.wait_for_end(daemon)
+        daemon.on_end(daemon)
         daemon.hindrances.add(f"{name} address taken")
         with socket.socket() as taker:
             taker.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
