--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -551,6 +551,10 @@
         )
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        # A task that is cancelled before it has begun leaves it open.
+        task.add_done_callback(
+            lambda done: connection.close() if done.cancelled() else None
+        )
 
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -1,6 +1,7 @@
 import asyncio
 import gc
 import random
+import socket
 import tracemalloc
 
 import pytest
@@ -226,6 +227,17 @@
     run(scenario)
 
 
+def test_a_link_that_arrives_as_the_server_closes_is_closed():
+    async def scenario(pair):
+        with socket.create_connection(("127.0.0.1", pair.port)) as connection:
+            connection.settimeout(2)
+            await pair.server.close()
+            await asyncio.sleep(0.01)
+            assert connection.recv(1) == b""
+
+    run(scenario)
+
+
 def test_repeated_frame_fails_authentication():
     sender, receiver = (
         codec.FrameAuthenticator(b"k"),
