Let the refusal of a surplus connection arrive though more is sent

A caller beyond the bound that went on sending after its request got a reset connection: it was closed with unread bytes, and the kernel dropped the refusal that the caller had not read. The server now ends its side and ignores what still comes for a moment, as it does after other refusals.

Before, the test failed with `BrokenPipeError: [Errno 32] Broken pipe`.

--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -572,6 +572,7 @@
             response = self._handler.turn_away(request)
             channel.transport.write(http1.encode_response(response, False))
             await channel.drain(SURPLUS_TIMEOUT_MS)
+            await channel.linger()
             return False
         # A coroutine of its own, which keeps neither the request nor the
         # response while a slow caller reads.
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -520,3 +520,22 @@
             writer.close()
 
     run(body())
+
+
+def test_the_refusal_of_a_surplus_connection_arrives_though_more_is_sent():
+    # The connection was reset with unread bytes, and the refusal lost.
+    async def body():
+        server = await start(EchoHandler(), bound=limits.ConnectionBound(1, 1))
+        _, first = await connect(server)
+        reader, second = await connect(server)
+        await asyncio.sleep(0.02)
+        second.write(GET)
+        for _ in range(5):
+            await asyncio.sleep(0.01)
+            second.write(GET * 1000)
+        answer = await reader.read(-1)
+        first.close()
+        second.close()
+        return answer
+
+    assert run(body()).startswith(b"HTTP/1.1 503 ")
