--- a/tests/platform/test_descriptors.py
+++ b/tests/platform/test_descriptors.py
@@ -76,8 +76,7 @@
 
 
 def test_callers_without_end_leave_descriptors_for_all_others(tmp_path):
-    # FAULT: store reads, connections to searchers and the readiness address
-    # found no descriptor left, and asyncio logged a thousand errors a second.
+    # FAULT: callers could take each descriptor that others need.
     async def body():
         async with LimitedDeployment(tmp_path) as deployment:
             daemon = deployment.daemons[1]
