--- a/citrondoor/malloc_tuning.py
+++ b/citrondoor/malloc_tuning.py
@@ -10,7 +10,7 @@
 
 # Allocations from this size on are mapped one by one, and unmapped when freed.
 # A read of a socket allocates 256 KB and is below.
-MMAP_THRESHOLD_BYTES = 524_288
+MMAP_THRESHOLD_BYTES = 270_336
 # Memory at the end of the heap that may stay free.
 TRIM_THRESHOLD_BYTES = 2_097_152
 # Parameters of `mallopt`, see malloc.h of glibc.
