Let large partial responses give way before new requests are refused

Cause: a response with a length gave way only at the limit, above the 75% from which new requests are refused, so a few of 16 MB kept the account there.

Evidence: test_large_responses_that_stop_do_not_make_a_daemon_refuse_requests failed with `assert <=`.

A partial response above 1 MB now gives way at half of the limit, the largest first. The test of unread requests got a time limit of its own.

--- a/citrondoor/links/_connection.py
+++ b/citrondoor/links/_connection.py
@@ -14,6 +14,9 @@
 # What a connection keeps counts in the account of memory from this size on;
 # ordinary messages take less.
 MIN_RECORDED_BYTES = 4096
+# A partial response that keeps more than this gives way like one without an
+# end: new requests must not be refused for it.
+LARGE_RESPONSE_BYTES = 1_048_576
 # Bytes that are read at a time. The event loop reads from every connection in
 # turn, and a searcher in trouble may make each byte expensive to parse.
 MAX_READ_BYTES = 32_768
@@ -153,7 +156,10 @@
         if kept_bytes < MIN_RECORDED_BYTES:
             kept_bytes = 0
         if kept_bytes or self._holder.kept_bytes:
-            self._holder.record(kept_bytes, reader.is_endless)
+            self._holder.record(
+                kept_bytes,
+                reader.is_endless or reader.kept_bytes > LARGE_RESPONSE_BYTES,
+            )
 
     def _give_way(self) -> None:
         self.fail(
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -1024,7 +1024,7 @@
         assert harness.account.kept_bytes == 0
         stalled.set()
 
-    run_and_close(body())
+    run_and_close(asyncio.wait_for(body(), 5))
 
 
 def test_a_searcher_is_read_in_small_parts(monkeypatch):
@@ -1046,3 +1046,24 @@
 
     run(behave, body)
     assert max(sizes) <= 32_768
+
+
+def test_large_responses_that_stop_do_not_make_a_daemon_refuse_requests():
+    # All requests were refused while one searcher's answers filled the account.
+    async def behave(request, writer):
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: 9000000\r\n\r\n"
+        writer.write(head + b"a" * 4_000_000)
+        while not writer.transport.is_closing():
+            await asyncio.sleep(0.01)
+
+    async def body(harness):
+        results = [harness.send(token) for token in range(10)]
+        await asyncio.wait(results, timeout=1)
+        assert 0 < harness.account.kept_bytes <= 16_000_000
+        assert not harness.account.is_short
+        assert {r.result().outcome for r in results if r.done()} == {
+            OUTCOME.BROKEN
+        }
+        assert not all(result.done() for result in results)
+
+    run(behave, body)
