Account of memory: no recursion when many holders give way

Callers could see a connection end without an answer: the record that exceeds the limit raised a RecursionError in the connection that made it, while some 250 requests that hold a reply and a failure response gave way.

Cause: a holder that gives way may record what is left, and that record made the next one give way inside the call.

A record while the account makes room only counts; the loop that is under way goes on with the new total.

--- a/citrondoor/limits/_memory_account.py
+++ b/citrondoor/limits/_memory_account.py
@@ -98,6 +98,7 @@
     __slots__ = (
         "_endless",
         "_holders",
+        "_is_making_room",
         "_kept_by_sender",
         "_max_bytes",
         "gave_way_counts",
@@ -109,6 +110,7 @@
         self._holders: set[Holder] = set()
         # Holders that are endless and not complete.
         self._endless: set[Holder] = set()
+        self._is_making_room = False
         self._kept_by_sender = dict.fromkeys(serving.Sender, 0)
         self.gave_way_counts = dict.fromkeys(serving.Sender, 0)
         self.peak_bytes = 0
@@ -148,10 +150,18 @@
         """Applies a record of a holder, then makes holders give way."""
         self._set(holder, kept_bytes, is_endless, is_complete)
         self.peak_bytes = max(self.peak_bytes, self.kept_bytes)
-        while (victim := self._choose_victim()) is not None:
-            self._set(victim, 0, False, False)
-            self.gave_way_counts[victim.sender] += 1
-            victim.give_way()
+        if self._is_making_room:
+            # `give_way` may record what is left; the loop that called it goes
+            # on with the new total.
+            return
+        self._is_making_room = True
+        try:
+            while (victim := self._choose_victim()) is not None:
+                self._set(victim, 0, False, False)
+                self.gave_way_counts[victim.sender] += 1
+                victim.give_way()
+        finally:
+            self._is_making_room = False
 
     def _set(
         self,
--- a/tests/limits/test_memory_account.py
+++ b/tests/limits/test_memory_account.py
@@ -1,3 +1,5 @@
+import functools
+
 import hypothesis
 from hypothesis import strategies
 
@@ -85,3 +87,16 @@
         kept = sum(h.kept_bytes for h in holders.values())
         assert account.kept_bytes == kept
         assert kept <= max(MAX_BYTES, complete)
+
+
+def test_many_holders_that_record_a_rest_when_they_give_way():
+    # FAULT: each one made the next give way inside its own call, until a
+    # RecursionError ended the connection that had recorded something.
+    account = limits.MemoryAccount(1_000_000)
+    for _ in range(900):
+        holder = account.open(SEARCHER, lambda: None)
+        holder.give_way = functools.partial(holder.record, 1, False, True)
+        holder.record(1000)
+    account.open(CALLER, lambda: None).record(999_000, is_complete=True)
+    assert account.gave_way_counts[SEARCHER] == 900
+    assert account.kept_bytes == 999_900
