Callers' server: count what the kernel keeps of connections it does not read

What callers could see: a daemon over its memory; bytes that are received and not yet read count towards the platform's limit. A connection with more than 16 queued requests is not read until one of them begins, and the kernel goes on receiving. One that gave way during a request in progress stayed unread as well.

Before, test_what_the_kernel_keeps_of_a_pipeline_counts_and_gives_way ended in "TimeoutError".

The receive buffer of a connection that is not read is recorded with its requests, and a connection that has failed or given way is read on, so that nothing stays in the kernel. Without the check for a closed connection, test_a_caller_that_leaves_with_unparsed_requests_causes_no_error failed with "OSError(9, 'Bad file descriptor')".

--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -186,11 +186,20 @@
         self._unparsed = b""
         self._reader.drop()
         self._record_received()
+        if self.transport is not None:
+            # What follows is dropped; the kernel would keep it.
+            self.transport.resume_reading()
 
     def _record_received(self) -> None:
         kept_bytes = (
             self._queued_bytes + self._reader.kept_bytes + len(self._unparsed)
         )
+        if self._unparsed and not self.transport.is_closing():
+            # The connection is not read meanwhile, and the kernel goes on
+            # receiving.
+            kept_bytes += self.transport.get_extra_info("socket").getsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF
+            )
         if kept_bytes != self._received.kept_bytes:
             # Its caller may never send the rest of a request.
             self._received.record(kept_bytes, is_endless=True)
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -1,4 +1,5 @@
 import asyncio
+import gc
 
 import pytest
 
@@ -539,3 +540,44 @@
         return answer
 
     assert run(body()).startswith(b"HTTP/1.1 503 ")
+
+
+def test_what_the_kernel_keeps_of_a_pipeline_counts_and_gives_way():
+    # FAULT: 900 callers kept 577 MB in the kernel, and 60 MB in the account.
+    async def body():
+        account = limits.MemoryAccount(400_000)
+        server = await start(EchoHandler(pause_s=10), None, account)
+        reader, writer = await connect(server)
+        writer.write(GET * 30)
+        await wait_until(lambda: account.kept_bytes)
+        assert not account.gave_way_counts[serving.Sender.CALLER]
+        # More than the kernel keeps of both sides.
+        writer.write(GET * 1_000_000)
+        async with asyncio.timeout(5):
+            await writer.drain()
+        assert server.active_requests == 1
+        assert account.gave_way_counts[serving.Sender.CALLER] == 1
+        writer.close()
+
+    run(body())
+
+
+def test_a_caller_that_leaves_with_unparsed_requests_causes_no_error():
+    async def body():
+        unexpected = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda _, context: unexpected.append(context)
+        )
+        account = limits.MemoryAccount(2**30)
+        server = await start(LargeAnswerHandler(), None, account, LARGE_LIMITS)
+        reader, writer = await connect(server)
+        writer.write(GET * 3000)
+        await wait_until(lambda: account.kept_bytes > 262_144)
+        writer.transport.abort()
+        await wait_until(lambda: not account.kept_bytes)
+        await server.close(2000)
+        gc.collect()
+        return unexpected
+
+    assert not run(body())
