Close accepted links of peers that stay silent

Evidence, before: test_a_link_whose_peer_is_gone_without_a_word_is_closed ended in "TimeoutError".

The accepting side now closes a link without a message for 30 s. The dialling side sends heartbeats every 400 ms (`citrondoord`: at most 10 s), so a sound link never stays silent that long, and a closed one is dialled again.

--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -34,6 +34,9 @@
 # to it would fill the memory. Within the 64 MB that a daemon may use for
 # control; a message is sent whatever its size while there are fewer.
 MAX_UNSENT_BYTES = 8_388_608
+# The accepting side closes a link without any message for this long, which is
+# many heartbeats: a peer whose VM or network was lost cannot close it.
+MAX_SILENCE_S = 30.0
 # Connections whose handshake is not complete; with more, the oldest is closed.
 MAX_HANDSHAKES = 128
 # Requests of one link that are handled at the same time; further ones are not
@@ -615,7 +618,8 @@
                     await asyncio.wait(
                         requests, return_when=asyncio.FIRST_COMPLETED
                     )
-                envelope = await channel.receive()
+                async with asyncio.timeout(MAX_SILENCE_S):
+                    envelope = await channel.receive()
                 payload_bytes = channel.bytes_received
                 self.bytes_received += payload_bytes
                 channel.bytes_received = 0
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -451,3 +451,19 @@
         run(scenario, make_settings("vm-1", KEY, 1_000_000))
     finally:
         gc.enable()
+
+
+def test_a_link_whose_peer_is_gone_without_a_word_is_closed(monkeypatch):
+    # Each one kept a descriptor for good: 400 of one peer were open together.
+    monkeypatch.setattr(_peers, "MAX_SILENCE_S", 0.2, raising=False)
+
+    async def scenario(pair):
+        reader, writer = await asyncio.open_connection("127.0.0.1", pair.port)
+        await _peers._perform_handshake(
+            reader, writer, make_settings("vm-0"), is_dialer=True
+        )
+        await wait_until(lambda: pair.server.is_linked("vm-0"))
+        await wait_until(lambda: not pair.server.is_linked("vm-0"))
+        writer.close()
+
+    run(scenario)
