One piece for what connections to searchers keep

The two kinds of connections had the same three constants, the same rule of what counts and the same error. ResponseMemory holds them. No change of behaviour.

--- a/citrondoor/links/_connection.py
+++ b/citrondoor/links/_connection.py
@@ -8,18 +8,8 @@
 from citrondoor.codecs import upstreams as codec
 from citrondoor.links import _calls
 from citrondoor.links import _listening
+from citrondoor.links import _response_memory
 from citrondoor.schema import declarations
-from citrondoor.schema import serving
-
-# What a connection keeps counts in the account of memory from this size on;
-# ordinary messages take less.
-MIN_RECORDED_BYTES = 4096
-# A partial response that keeps more than this gives way like one without an
-# end: new requests must not be refused for it.
-LARGE_RESPONSE_BYTES = 1_048_576
-# Bytes that are read at a time. The event loop reads from every connection in
-# turn, and a searcher in trouble may make each byte expensive to parse.
-MAX_READ_BYTES = 32_768
 
 
 class Link(typing.Protocol):
@@ -62,7 +52,7 @@
     __slots__ = (
         "_awaited_number",
         "_counters",
-        "_holder",
+        "_memory",
         "_reader",
         "_response_future",
         "transport",
@@ -74,7 +64,7 @@
         account: limits.MemoryAccount,
     ):
         self._counters = counters
-        self._holder = account.open(serving.Sender.SEARCHER, self._give_way)
+        self._memory = _response_memory.ResponseMemory(account, self.fail)
         self._reader = codec.ResponseReader()
         self._awaited_number = -1
         self._response_future: asyncio.Future[codec.Response] | None = None
@@ -83,7 +73,7 @@
     def connection_made(self, transport) -> None:
         """Stores the open transport; called by the event loop."""
         self.transport = transport
-        transport.max_size = MAX_READ_BYTES
+        transport.max_size = _response_memory.MAX_READ_BYTES
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; called by the event loop."""
@@ -151,23 +141,8 @@
         self._record_kept()
 
     def _record_kept(self) -> None:
-        reader = self._reader
-        kept_bytes = reader.kept_bytes + self.transport.get_write_buffer_size()
-        if kept_bytes < MIN_RECORDED_BYTES:
-            kept_bytes = 0
-        if kept_bytes or self._holder.kept_bytes:
-            self._holder.record(
-                kept_bytes,
-                reader.is_endless or reader.kept_bytes > LARGE_RESPONSE_BYTES,
-            )
-
-    def _give_way(self) -> None:
-        self.fail(
-            http1.ProtocolError(
-                502,
-                "all messages together need too much memory, and the response"
-                " on this connection is among the largest",
-            )
+        self._memory.record(
+            self._reader, self.transport.get_write_buffer_size()
         )
 
     def _end(self, error: Exception) -> None:
@@ -176,7 +151,7 @@
             future.set_exception(error)
         self.transport.abort()
         self._reader.drop()
-        self._holder.release()
+        self._memory.release()
 
 
 class Connection:
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -14,6 +14,7 @@
 from citrondoor.links import _carried_ids
 from citrondoor.links import _exchanges
 from citrondoor.links import _listening
+from citrondoor.links import _response_memory
 from citrondoor.schema import serving
 
 CONNECT_TIMEOUT_S = 1.0
@@ -39,15 +40,6 @@
 # Stamps that a connection remembers. A copy of an answer without an id that
 # comes later than as many further answers is not recognised.
 RECENT_STAMPS = 16
-# What a connection keeps counts in the account of memory from this size on;
-# ordinary messages take less.
-MIN_RECORDED_BYTES = 4096
-# A partial response that keeps more than this gives way like one without an
-# end: new requests must not be refused for it.
-LARGE_RESPONSE_BYTES = 1_048_576
-# Bytes that are read at a time. The event loop reads from every connection in
-# turn, and a searcher in trouble may make each byte expensive to parse.
-MAX_READ_BYTES = 32_768
 # A connection whose sent bytes are not acknowledged for this long is closed.
 TCP_USER_TIMEOUT_MS = 3000
 
@@ -94,7 +86,7 @@
 
     __slots__ = (
         "_error",
-        "_holder",
+        "_memory",
         "_reader",
         "_responses",
         "_wake_future",
@@ -102,7 +94,7 @@
     )
 
     def __init__(self, account: limits.MemoryAccount):
-        self._holder = account.open(serving.Sender.SEARCHER, self._give_way)
+        self._memory = _response_memory.ResponseMemory(account, self._give_way)
         self._reader = http1.ResponseReader()
         self._responses: collections.deque[http1.Response] = collections.deque()
         self._wake_future: asyncio.Future | None = None
@@ -126,7 +118,7 @@
     def connection_made(self, transport) -> None:
         """Stores the open transport; called by the event loop."""
         self.transport = transport
-        transport.max_size = MAX_READ_BYTES
+        transport.max_size = _response_memory.MAX_READ_BYTES
         transport.get_extra_info("socket").setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
@@ -179,32 +171,18 @@
         self._error = self._error or EOFError("the connection is closed")
         self._responses.clear()
         self._reader.drop()
-        self._holder.release()
+        self._memory.release()
 
     def _record_kept(self) -> None:
-        kept_bytes = self._reader.kept_bytes
-        kept_bytes += self.transport.get_write_buffer_size()
-        for response in self._responses:
-            kept_bytes += response.kept_bytes
-        if kept_bytes < MIN_RECORDED_BYTES:
-            kept_bytes = 0
-        if kept_bytes or self._holder.kept_bytes:
-            partial_bytes = self._reader.kept_bytes
-            self._holder.record(
-                kept_bytes,
-                self._reader.is_endless or partial_bytes > LARGE_RESPONSE_BYTES,
-                is_complete=bool(self._responses) and not partial_bytes,
-            )
+        self._memory.record(
+            self._reader,
+            self.transport.get_write_buffer_size(),
+            sum(response.kept_bytes for response in self._responses),
+        )
 
-    def _give_way(self) -> None:
+    def _give_way(self, error: http1.ProtocolError) -> None:
         self._responses.clear()
-        self.fail(
-            http1.ProtocolError(
-                502,
-                "all messages together need too much memory, and the response"
-                " on this connection is among the largest",
-            )
-        )
+        self.fail(error)
 
     def eof_received(self) -> None:
         """Completes a response without a length; called by the event loop."""
