--- a/citrondoor/links/_http_pool.py
+++ b/citrondoor/links/_http_pool.py
@@ -37,13 +37,13 @@
         "_backends",
         "_clock",
         "_codec",
+        "_has_upstreams",
         "_links",
         "_links_by_token",
         "_on_malformed",
         "_on_unreachable",
         "_shard_backends",
         "_unconnectable_count",
-        "_usable_keys",
         "_vm",
         "_zone",
         "counters",
@@ -72,8 +72,8 @@
         self._account = account
         self._links: dict[tuple, _http_searcher.HttpSearcherLink] = {}
         self._links_by_token: dict[int, _http_searcher.HttpSearcherLink] = {}
-        # Keys of the searchers that may get requests; None until they are set.
-        self._usable_keys: frozenset[tuple] | None = None
+        # Whether it is known which searchers may get requests.
+        self._has_upstreams = False
         self._unconnectable_count = 0
         self.counters = _http_searcher.HttpCounters()
 
@@ -146,7 +146,7 @@
                         link.dial()
             link.set_max_connections(limit)
             link.set_in_use(True)
-        self._usable_keys = frozenset(upstreams_by_key)
+        self._has_upstreams = True
         for key in [key for key in self._links if key not in upstreams_by_key]:
             link = self._links[key]
             link.set_in_use(False)
@@ -161,8 +161,8 @@
         link = self._links.get(_link_key(upstream))
         if link is None:
             link = self._add_link(upstream, self._own_limit(upstream))
-            if self._usable_keys is not None:
-                link.set_in_use(_link_key(upstream) in self._usable_keys)
+            # Each searcher that may get requests has a link.
+            link.set_in_use(not self._has_upstreams)
         self._links_by_token[exchange.token] = link
         link.submit(exchange)
 
