--- a/citrondoor/entry/_relay.py
+++ b/citrondoor/entry/_relay.py
@@ -11,7 +11,6 @@
 import functools
 import itertools
 import random
-import sys
 from collections.abc import Callable
 
 from citrondoor import clock as clocks
@@ -153,7 +152,7 @@
         rng: random.Random,
         account: limits.MemoryAccount | None = None,
     ):
-        self._account = account or limits.MemoryAccount(sys.maxsize)
+        self._account = account or limits.MemoryAccount()
         self._peers = peers
         self._view = view
         self._clock = clock
--- a/citrondoor/limits/_memory_account.py
+++ b/citrondoor/limits/_memory_account.py
@@ -5,6 +5,7 @@
 its own limit while all of them together exceed the VM's memory.
 """
 
+import sys
 from collections.abc import Callable
 
 from citrondoor.schema import serving
@@ -92,7 +93,8 @@
     """Adds up what all messages keep, and chooses what gives way.
 
     Args:
-      max_bytes: Limit on what all messages keep.
+      max_bytes: Limit on what all messages keep; without one, they are only
+        added up.
     """
 
     __slots__ = (
@@ -105,7 +107,7 @@
         "peak_bytes",
     )
 
-    def __init__(self, max_bytes: int):
+    def __init__(self, max_bytes: int = sys.maxsize):
         self._max_bytes = max_bytes
         self._holders: set[Holder] = set()
         # Holders that are endless and not complete.
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -12,7 +12,6 @@
 import http
 import socket
 import struct
-import sys
 import typing
 from collections.abc import Callable
 
@@ -438,7 +437,7 @@
         account: limiting.MemoryAccount | None = None,
         bound: limiting.ConnectionBound | None = None,
     ):
-        self._account = account or limiting.MemoryAccount(sys.maxsize)
+        self._account = account or limiting.MemoryAccount()
         self._bound = bound
         self._handler = handler
         self._get_limits = get_limits
--- a/citrondoor/links/_json_client.py
+++ b/citrondoor/links/_json_client.py
@@ -8,7 +8,6 @@
 import asyncio
 import functools
 import http
-import sys
 import urllib.parse
 
 from citrondoor import addresses
@@ -54,7 +53,7 @@
         setting: str,
         account: limits.MemoryAccount | None = None,
     ):
-        self._account = account or limits.MemoryAccount(sys.maxsize)
+        self._account = account or limits.MemoryAccount()
         self._address = addresses.split_address(
             urllib.parse.urlsplit(url).netloc
         )
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -14,7 +14,6 @@
 import itertools
 import secrets
 import socket
-import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -82,7 +81,7 @@
         request_timeout_ms: int,
         account: limits.MemoryAccount | None = None,
     ):
-        self.account = account or limits.MemoryAccount(sys.maxsize)
+        self.account = account or limits.MemoryAccount()
         self.vm = vm
         self.incarnation = incarnation
         self.key = key
