--- a/benchmarks/bench_control_cost.py
+++ b/benchmarks/bench_control_cost.py
@@ -13,6 +13,7 @@
 import click
 
 from benchmarks import _deployments
+from benchmarks import _processes
 from benchmarks import _report
 
 DAEMON_COUNTS = (5, 10, 20, 40)
@@ -20,10 +21,8 @@
 DURATION_S = 20.0
 QUICK_DURATION_S = 8.0
 SETTLE_S = 6.0
-# Units of `/proc`: `getconf CLK_TCK` and, below, `getconf PAGESIZE`.
+# Unit of times in `/proc`: `getconf CLK_TCK`.
 CLOCK_TICKS_PER_S = 100
-BYTES_PER_MB = 1_000_000
-PAGE_BYTES = 4096
 
 
 def _cpu_s(pid: int) -> float:
@@ -32,11 +31,6 @@
     return (int(user_ticks) + int(system_ticks)) / CLOCK_TICKS_PER_S
 
 
-def _memory_mb(pid: int) -> float:
-    pages = pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]
-    return int(pages) * PAGE_BYTES / BYTES_PER_MB
-
-
 def _measure(daemon_count: int, duration_s: float) -> dict[str, float]:
     options = {"searcher_processes": 1}
     with _deployments.run_with_vm_count(daemon_count, **options) as deployment:
@@ -49,7 +43,7 @@
         elapsed_s = time.monotonic() - started
         cpu_s = sum(map(_cpu_s, pids)) - cpu_start_s
         bytes_at_end = _deployments.total_counters(deployment)["peers.bytes"]
-        max_memory_mb = max(map(_memory_mb, pids))
+        max_memory_mb = max(map(_processes.resident_mb, pids))
     return {
         "cpu_core_share": cpu_s / elapsed_s / daemon_count,
         "memory_mb": max_memory_mb,
--- a/benchmarks/bench_memory_growth.py
+++ b/benchmarks/bench_memory_growth.py
@@ -12,6 +12,7 @@
 
 import click
 
+from benchmarks import _processes
 from benchmarks import _report
 from tests.platform import deployment as deployments
 
@@ -27,13 +28,6 @@
 S_PER_MIN = 60.0
 
 
-def _resident_mb(pid: int) -> float:
-    for line in pathlib.Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) * 1024 / 1_000_000
-    raise LookupError(f"process {pid} has no VmRSS; it has ended")
-
-
 async def _send_forever(deployment, number: int, is_loaded: bool) -> None:
     interval_s = CALLER_COUNT / REQUESTS_PER_S
     while is_loaded:
@@ -61,7 +55,7 @@
             while time.monotonic() - started_at < duration_s:
                 await asyncio.sleep(SAMPLE_INTERVAL_S)
                 mean_mb = statistics.fmean(
-                    _resident_mb(daemon.process.pid)
+                    _processes.resident_mb(daemon.process.pid)
                     for daemon in deployment.daemons
                 )
                 samples.append((time.monotonic() - started_at, mean_mb))
