--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -39,6 +39,7 @@
 
 
 STARTED_SERVERS: list[links.HttpServer] = []
+WRITERS: list[asyncio.StreamWriter] = []
 
 
 async def start(
@@ -57,7 +58,9 @@
 
 
 async def connect(server):
-    return await asyncio.open_connection("127.0.0.1", server.port)
+    reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+    WRITERS.append(writer)
+    return reader, writer
 
 
 async def exchange(server, data: bytes) -> bytes:
@@ -77,6 +80,8 @@
         finally:
             while STARTED_SERVERS:
                 await STARTED_SERVERS.pop().close(100)
+            while WRITERS:
+                WRITERS.pop().close()
 
     return asyncio.run(run_and_close())
 
