--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -11,8 +11,8 @@
   whose status says that it has not run.
 - A request that reached a searcher is answered, unless its daemon was killed or
   paused; a daemon that shuts down as planned answers all that it has accepted.
-- After the faults, every daemon answers from all shards again, and a draining
-  searcher gets no new requests.
+- After the faults, every daemon answers from all shards again and names all
+  daemons to callers, and a draining searcher gets no new requests.
 - No daemon ends unless a signal of the soak explains it, exceeds its memory, or
   does not start to serve in time.
 """
@@ -572,6 +572,29 @@
                 self.problems.append(
                     f"{daemon.name} does not answer from all shards"
                 )
+        await self.check_members()
+
+    async def check_members(self):
+        """Checks that each daemon names all daemons to callers."""
+        fronts = {
+            f"{deployments.HOST}:{d.front}" for d in self.deployment.daemons
+        }
+        for daemon in self.deployment.daemons:
+            try:
+                await self.deployment.wait_until(
+                    lambda d=daemon: self.names(d, fronts), RECOVERY_TIMEOUT_S
+                )
+            except TimeoutError:
+                self.problems.append(
+                    f"{daemon.name} does not name all daemons to callers"
+                )
+
+    async def names(self, daemon, fronts):
+        try:
+            return await self.deployment.addresses(daemon) == fronts
+        except (OSError, AttributeError, ValueError):
+            # Closed without an answer, or refused.
+            return False
 
     async def serves_all_shards(self, daemon):
         try:
