Ignore a searcher's warm-up time that no message can carry

Callers would see a daemon that never gets ready, and answers without the shards that a peer had asked for. Cause: X-Warmup-Left of any length was taken, and messages to peers carry 32 bits (replies) and 64 bits (the view). Encoding failed for as long as the searcher stayed: each reply with the view ended the link, so that a daemon that started while the store was away never got its first view; replies to delegated sends were lost ("Exception in callback Relay._flush: OverflowError('int out of range')"). Over 4,300 digits, int() raised and the answer counted as broken.

The tests failed before with 'OverflowError: int out of range' and 'ValueError: Exceeds the limit (4300 digits) for integer string conversion'.

--- a/citrondoor/platform/_searcher_codec.py
+++ b/citrondoor/platform/_searcher_codec.py
@@ -15,6 +15,8 @@
 # Longer pauses are taken for this one; a searcher that still wants none then
 # says so again.
 MAX_PAUSE_MS = 3_600_000
+# A longer warm-up time is malformed: messages to peers carry 31 bits.
+_MILLISECONDS = re.compile(rb"\d{1,9}")
 _SUCCESS_STATUSES = range(200, 300)
 # Neither a sign nor an exponent; nine digits are far above any real rate.
 _DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
@@ -154,4 +156,6 @@
 
 def _parse_ms(value: bytes | None) -> int:
     """Returns the number, or 0 if it is missing or malformed."""
-    return int(value) if value is not None and value.isdigit() else 0
+    if value is None or not _MILLISECONDS.fullmatch(value):
+        return 0
+    return int(value)
--- a/tests/platform/test_searcher_codec.py
+++ b/tests/platform/test_searcher_codec.py
@@ -1,9 +1,12 @@
 import hypothesis
+import pytest
 from hypothesis import strategies
 
 from citrondoor import links
 from citrondoor.codecs import http1
+from citrondoor.codecs import peers
 from citrondoor.platform import _searcher_codec
+from citrondoor.schema import messages
 
 UNREADABLE = []
 CODEC = _searcher_codec.PlatformSearcherCodec(
@@ -64,6 +67,15 @@
     assert decode(200, STAMP_HEADER, (b"x-warmup-left", b"soon")).cold_ms == 0
 
 
+@pytest.mark.parametrize("digits", [10, 20, 5000])
+def test_a_warm_up_time_of_any_length_can_be_passed_on_to_peers(digits):
+    header = (b"x-warmup-left", b"9" * digits)
+    result = decode(200, STAMP_HEADER, header)
+    assert result.outcome == OUTCOME.ANSWERED
+    reply = messages.RelayReply(1, 1, index=0, cold_ms=result.cold_ms)
+    assert peers.decode(messages.RelayReply, peers.encode(reply)) == reply
+
+
 def decode_rate(*values):
     headers = [(b"server-limit", value) for value in values]
     result = decode(200, STAMP_HEADER, MATCHING_ID_HEADER, *headers)
