Refuse a peer's request whose reply cannot be encoded

What a caller would see: requests through the peer lost, as its link ends each time, and a daemon that starts and never gets its view. Cause: the reply was sent outside the handler's try, so that an error of the encoder ended the task group of the link and cancelled all its other requests. Met with a searcher's warm-up time of 20 digits in the view (mended before); this is the class: no single number may end a link. The test failed before with "PeerUnreachableError: 'vm-1' does not reply" for both requests. Why it works: encoding comes before anything is written, so the refusal is the next frame.

--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -640,14 +640,17 @@
     ) -> None:
         try:
             body = await self._handler(channel.hello.vm, envelope.body)
-        except errors.CitrondoorError as error:
-            body = messages.Body(refused=messages.Refused(str(error)))
+            channel.send(messages.Envelope(0, envelope.id, body))
         except Exception as error:  # noqa: BLE001
-            # One message that cannot be handled must not end the link, which
-            # carries other requests.
-            self._on_protocol_error()
-            body = messages.Body(refused=messages.Refused(repr(error)))
-        channel.send(messages.Envelope(0, envelope.id, body))
+            # One message that cannot be handled, or whose reply cannot be
+            # encoded, must not end the link, which carries other requests.
+            if isinstance(error, errors.CitrondoorError):
+                reason = str(error)
+            else:
+                self._on_protocol_error()
+                reason = repr(error)
+            body = messages.Body(refused=messages.Refused(reason))
+            channel.send(messages.Envelope(0, envelope.id, body))
         self.bytes_sent += channel.bytes_sent
         channel.bytes_sent = 0
 
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -204,6 +204,24 @@
     run(scenario)
 
 
+def test_a_reply_that_cannot_be_encoded_leaves_its_link_up():
+    async def increment_slowly(sender, body):
+        await asyncio.sleep(0.01 if body.config_advert.revision < 2**62 else 0)
+        return make_advert(2 * body.config_advert.revision)
+
+    async def scenario(pair):
+        link = pair.dial()
+        await pair.link_up.wait()
+        pending = asyncio.create_task(link.request(make_advert(6)))
+        with pytest.raises(errors.PeerRefusedError, match="OverflowError"):
+            await link.request(make_advert(2**62))
+        assert (await pending).config_advert.revision == 12
+        assert link.is_connected
+        link.close()
+
+    run(scenario, None, increment_slowly)
+
+
 def test_a_link_is_dialled_again_after_a_notification_that_fails():
     # An error that ends the link's task would leave the peer unreachable until
     # one of the two daemons restarts.
