Ignore members' records that are incomplete or out of range

What a caller would see: a cluster whose daemons do not hear of each other or of changes, after one message of one peer (the peers' address needs no key on the users' platform). Cause: the decoder checks required fields of the outermost message only, and gossip passes the record on to all daemons. Evidence, one record each, on the code before: no vm: the tick and live_vms raise TypeError for ever, and with them the store poller; a state of a later version or none: each heartbeat that carries it raises KeyError; the own record with the highest refutation count or incarnation: no heartbeat can be encoded any more (OverflowError). The property-based test failed before with TypeError, KeyError and OverflowError. Why it works: records are checked where they are merged, and the limits leave room for the daemon to raise its own numbers.

--- a/citrondoor/membership/_members.py
+++ b/citrondoor/membership/_members.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 
+from citrondoor import errors
 from citrondoor.membership import _neighbours
 from citrondoor.schema import messages
 from citrondoor.schema import serving
@@ -21,7 +22,29 @@
 # that a change of owners doesn't wait for the VM to apply it.
 REMOVED_VM_REVISION = 1 << 62
 
+# Highest values that can still be raised in a message, which carries 63 bits of
+# an incarnation and 31 of a refutation count.
+_MAX_INCARNATION = 2**62
+_MAX_REFUTATION = 2**30
+
 _State = messages.MemberState
+_STATES = frozenset(_State)
+
+
+def _is_usable(member: messages.Member) -> bool:
+    """Returns whether a record is complete and within its limits.
+
+    The decoder does not check the records within a message, and gossip would
+    spread one that is not usable to all daemons.
+    """
+    numbers = (member.incarnation, member.refutation, member.vms_revision)
+    return (
+        bool(member.vm)
+        and member.state in _STATES
+        and None not in numbers
+        and member.incarnation <= _MAX_INCARNATION
+        and member.refutation <= _MAX_REFUTATION
+    )
 
 
 def _precedence(member: messages.Member) -> tuple[int, int, int]:
@@ -303,7 +326,15 @@
           sender: The sender's own record.
           updates: Records of other members that it sent along.
           now: Clock reading.
+
+        Raises:
+          errors.FrameError: The sender's record is not usable.
         """
+        if not _is_usable(sender):
+            raise errors.FrameError(
+                f"{sender.vm!r} sent a record of itself that is incomplete or"
+                " out of range; run compatible versions"
+            )
         self._last_heartbeat_at[sender.vm] = now
         self._merge(sender, now)
         self._mark_known(sender, sender.vm)
@@ -315,10 +346,11 @@
     def merge_updates(
         self, updates: list[messages.Member], sender: str, now: int
     ) -> None:
-        """Merges records of members that a peer sent."""
+        """Merges the usable records of members that a peer sent."""
         for member in updates:
-            self._merge(member, now)
-            self._mark_known(member, sender)
+            if _is_usable(member):
+                self._merge(member, now)
+                self._mark_known(member, sender)
 
     def on_heartbeat_without_record(self, vm: str, now: int) -> None:
         """Applies a heartbeat that leaves out the sender's own record."""
--- a/tests/membership/test_members.py
+++ b/tests/membership/test_members.py
@@ -5,8 +5,11 @@
 import pytest
 from hypothesis import strategies
 
+from citrondoor import errors
 from citrondoor import membership
+from citrondoor.codecs import peers as codec
 from citrondoor.schema import messages
+from citrondoor.schema import serving
 from citrondoor.schema import settings as schema_settings
 
 STATE = messages.MemberState
@@ -305,3 +308,38 @@
     members.on_heartbeat_without_record("vm-1", cluster.now + 10)
     (update,) = members.next_updates()
     assert (update.vm, update.state) == ("vm-1", STATE.SUSPECT)
+
+
+STAMP = serving.ViewStamp(1, 1, 1)
+ODD_NUMBERS = strategies.sampled_from([None, -1, 0, 1, 2, 2**31 - 1])
+ODD_LONG_NUMBERS = ODD_NUMBERS | strategies.just(2**63 - 1)
+
+
+@hypothesis.given(
+    strategies.builds(
+        messages.Member,
+        vm=strategies.sampled_from([None, "", "vm-0", "vm-1", "new"]),
+        incarnation=ODD_LONG_NUMBERS,
+        refutation=ODD_NUMBERS,
+        state=strategies.sampled_from([None, 0, *STATE, 99]),
+        vms_revision=ODD_LONG_NUMBERS,
+    )
+)
+def test_no_record_of_a_peer_ends_the_heartbeats(record):
+    data = codec.encode(messages.EntryBeat(record, [record], STAMP, 0, False))
+    heartbeat = codec.decode(messages.EntryBeat, data)
+    cluster = FakeCluster(3)
+    members = cluster.members_of["vm-0"]
+    members.merge_updates(heartbeat.news, "vm-2", cluster.now)
+    try:
+        members.on_heartbeat(heartbeat.sender, heartbeat.news, cluster.now)
+    except errors.FrameError:
+        pass
+    if members.is_superseded:
+        members.raise_incarnation()
+    names = [member.vm for member in members.all_members]
+    members.set_declared(names, 1, cluster.now)
+    cluster.run(2000)
+    for member in members.all_members:
+        codec.encode(member)
+    assert "vm-2" in members.live_vms()
