Free a caller's connection when it closes

Operators would see: memory that grows for minutes under an even load. A closed connection of a caller was not freed until a garbage collection, which comes after 100,000 allocations.

Cause: the channel refers to its two holders in the account, and each holder to the channel through `give_way`. `release` took the holders out of the account and kept these references.

The test failed before in all 8 cases: AssertionError: assert ['citrondoor....ver._Channel'] == [] Left contains 5 more items, first extra item: 'citrondoor.codecs.http1.FramingMeter'

A holder can be closed now, which drops `give_way`; the channel closes both at its end, after which it records nothing.

--- a/citrondoor/limits/_memory_account.py
+++ b/citrondoor/limits/_memory_account.py
@@ -88,6 +88,15 @@
         """Removes the holder from the account."""
         self.record(0)
 
+    def close(self) -> None:
+        """Removes the holder from the account for good.
+
+        `give_way` refers to the owner, and the owner to this holder: neither
+        would be freed before a garbage collection.
+        """
+        self.release()
+        self.give_way = _keep
+
 
 class MemoryAccount:
     """Adds up what all messages keep, and chooses what gives way.
@@ -203,3 +212,7 @@
 
 def _size(holder: Holder) -> int:
     return holder.kept_bytes
+
+
+def _keep() -> None:
+    """Is `give_way` of a closed holder, which keeps nothing."""
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -225,7 +225,8 @@
         self._queued_bytes = 0
         # Replaces one that was raised, whose frames refer to this object.
         self._fail(http1.ProtocolError(400, "the connection is closed"))
-        self.in_use.release()
+        self._received.close()
+        self.in_use.close()
 
     def eof_received(self) -> None:
         """Marks the caller as disconnected; called by the event loop."""
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -7,6 +7,7 @@
 from citrondoor import links
 from citrondoor.codecs import http1
 from citrondoor.schema import serving
+from tests import garbage
 
 # Bytes of a head and of a body, and timeouts in ms of an incomplete request and
 # of an idle connection.
@@ -586,3 +587,40 @@
         return unexpected
 
     assert not run(body())
+
+
+class FailingHandler(EchoHandler):
+    """Fails on each request."""
+
+    async def handle(self, request, disconnected):
+        raise RuntimeError("a fault of the handler")
+
+
+@pytest.mark.parametrize(
+    ("data", "handler"),
+    [
+        (b"GET /a HTTP/1.1\r\nconnection: close\r\n\r\n", EchoHandler()),
+        (GET, EchoHandler()),
+        (GET, EchoHandler(pause_s=0.1)),
+        (GET, FailingHandler()),
+        (GET * 40, EchoHandler()),
+        (b"GET\r\n\r\n", EchoHandler()),
+        (b"GET /a HTTP/1.1\r\nx: ", EchoHandler()),
+        (b"", EchoHandler()),
+    ],
+)
+def test_a_closed_connection_leaves_nothing_for_a_garbage_collection(
+    data, handler
+):
+    async def body():
+        server = await start(handler)
+        with garbage.left_behind() as kinds:
+            await exchange(server, data)
+            _, writer = await connect(server)
+            writer.write(data)
+            await asyncio.sleep(0.02)
+            writer.transport.abort()
+            await asyncio.sleep(0.05)
+        assert kinds == []
+
+    run(body())
