Free a connection to a searcher when it closes

Operators would see: memory that grows where connections to searchers close, with what was received on them, until a garbage collection.

Cause: the channel of a connection refers to its holder in the account, and the holder to the channel through `give_way`. An error that the task of the connection has raised refers, through its traceback, to the frames and so to the channel that keeps it (`_error`, or the future of the response).

Evidence: the tests failed before, 6 kinds of end on the users' platform and 4 on searchers of the own interface: AssertionError: assert ['citrondoor....sponseMemory'] == [] Left contains 6 more items, first extra item: 'citrondoor.codecs.http1.FramingMeter' AssertionError: assert ['citrondoor....nection', ...] == [] Left contains 9 more items, first extra item: 'citrondoor.codecs.http1.FramingMeter'

The channel closes its holder, and drops the error that was raised. The test's own parser was in a cycle as well, and is dropped now.

--- a/citrondoor/links/_connection.py
+++ b/citrondoor/links/_connection.py
@@ -130,6 +130,15 @@
             future.set_exception(EOFError("the connection is closed"))
         return future
 
+    def close(self) -> None:
+        """Closes the connection, if open; nobody awaits a response any more."""
+        # Its error was raised, and the frames refer to this object.
+        self._response_future = None
+        if self.transport is not None:
+            self.transport.abort()
+        self._reader.drop()
+        self._memory.close()
+
     def fail(self, error: http1.ProtocolError) -> None:
         """Closes the connection at once; the awaited response raises it."""
         self._counters.malformed += 1
@@ -151,7 +160,7 @@
             future.set_exception(error)
         self.transport.abort()
         self._reader.drop()
-        self._memory.release()
+        self._memory.close()
 
 
 class Connection:
@@ -199,8 +208,7 @@
         except (OSError, ValueError, EOFError):
             pass
         finally:
-            if self._channel.transport is not None:
-                self._channel.transport.abort()
+            self._channel.close()
             self._link.on_closed(self)
 
     async def _open(self) -> None:
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -168,10 +168,11 @@
         """Closes the connection, if open, and drops all that was received."""
         if self.transport is not None:
             self.transport.abort()
-        self._error = self._error or EOFError("the connection is closed")
+        # Replaces one that was raised, whose frames refer to this object.
+        self._error = EOFError("the connection is closed")
         self._responses.clear()
         self._reader.drop()
-        self._memory.release()
+        self._memory.close()
 
     def _record_kept(self) -> None:
         self._memory.record(
--- a/citrondoor/links/_response_memory.py
+++ b/citrondoor/links/_response_memory.py
@@ -1,5 +1,6 @@
 """Records what a connection to a searcher keeps, in the account of memory."""
 
+import functools
 from collections.abc import Callable
 
 from citrondoor import limits
@@ -25,15 +26,16 @@
       fail: Closes the connection with an error; called when it gives way.
     """
 
-    __slots__ = ("_fail", "_holder")
+    __slots__ = ("_holder",)
 
     def __init__(
         self,
         account: limits.MemoryAccount,
         fail: Callable[[http1.ProtocolError], None],
     ):
-        self._fail = fail
-        self._holder = account.open(serving.Sender.SEARCHER, self._give_way)
+        self._holder = account.open(
+            serving.Sender.SEARCHER, functools.partial(_give_way, fail)
+        )
 
     def record(self, reader, unsent_bytes: int, waiting_bytes: int = 0) -> None:
         """Records what is kept now; the connection may give way at once.
@@ -54,15 +56,16 @@
                 is_complete=waiting_bytes > 0 and not partial_bytes,
             )
 
-    def release(self) -> None:
-        """Removes the connection from the account."""
-        self._holder.release()
+    def close(self) -> None:
+        """Removes the connection from the account for good."""
+        self._holder.close()
 
-    def _give_way(self) -> None:
-        self._fail(
-            http1.ProtocolError(
-                502,
-                "all messages together need too much memory, and the response"
-                " on this connection is among the largest",
-            )
+
+def _give_way(fail: Callable[[http1.ProtocolError], None]) -> None:
+    fail(
+        http1.ProtocolError(
+            502,
+            "all messages together need too much memory, and the response"
+            " on this connection is among the largest",
         )
+    )
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -12,6 +12,7 @@
 from citrondoor.links import _http_searcher
 from citrondoor.platform import _searcher_codec
 from citrondoor.schema import serving
+from tests import garbage
 from tests import serving_samples as samples
 
 OUTCOME = links.ExchangeOutcome
@@ -62,6 +63,7 @@
         except (OSError, ConnectionError):
             pass
         finally:
+            parser.drop()
             writer.close()
 
 
@@ -1067,3 +1069,52 @@
         assert not all(result.done() for result in results)
 
     run(behave, body)
+
+
+async def answer_whole(request, writer):
+    writer.write(encode_answer(request))
+
+
+async def answer_and_close(request, writer):
+    writer.write(encode_answer(request, extra=b"connection: close\r\n"))
+
+
+async def answer_nothing_and_close(request, writer):
+    writer.close()
+
+
+async def answer_a_part_and_reset(request, writer):
+    writer.write(ANSWER_HEAD % b"r" + b"content-length: 9\r\n\r\nx")
+    await writer.drain()
+    writer.transport.abort()
+
+
+async def answer_with_bytes_that_are_no_http(request, writer):
+    writer.write(b"oops\r\n\r\n")
+
+
+async def answer_with_too_many_responses(request, writer):
+    writer.write(encode_answer(request) * 40)
+
+
+@pytest.mark.parametrize(
+    "behave",
+    [
+        answer_whole,
+        answer_and_close,
+        answer_nothing_and_close,
+        answer_a_part_and_reset,
+        answer_with_bytes_that_are_no_http,
+        answer_with_too_many_responses,
+    ],
+)
+def test_a_closed_connection_leaves_nothing_for_a_garbage_collection(behave):
+    async def body(harness):
+        with garbage.left_behind() as kinds:
+            await asyncio.gather(*(harness.send(n) for n in range(3)))
+            harness.pool.close()
+            await asyncio.sleep(0.1)
+            harness.results.clear()
+        return kinds
+
+    assert run(behave, body) == []
--- a/tests/links/test_upstreams.py
+++ b/tests/links/test_upstreams.py
@@ -13,6 +13,7 @@
 from citrondoor.links import _calls
 from citrondoor.schema import messages
 from citrondoor.schema import settings as schema_settings
+from tests import garbage
 from tests import samples
 
 OUTCOME = messages.SubOutcome
@@ -161,3 +162,43 @@
         head, schema_settings.UpstreamSettings(), 1, BrokenOffSearcher
     )
     assert answer.outcome == OUTCOME.FAILED
+
+
+class OneTimeSearcher:
+    """Sends the same bytes for each request, then closes the connection."""
+
+    def __init__(self, data: bytes):
+        self.data = data
+        self.sent_bytes = 0
+
+    async def serve(self, reader, writer):
+        await reader.read(4096)
+        writer.write(self.data)
+        writer.close()
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b'HTTP/1.1 200 OK\r\ncontent-length: 22\r\n\r\n{"id":0,"result":"x"} ',
+        b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nx",
+        b"oops\r\n\r\n",
+        b"",
+    ],
+)
+def test_a_closed_connection_leaves_nothing_for_a_garbage_collection(data):
+    async def body():
+        searcher = OneTimeSearcher(data)
+        server = await asyncio.start_server(searcher.serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = make_pool(port, schema_settings.UpstreamSettings())
+        try:
+            with garbage.left_behind() as kinds:
+                await asyncio.gather(*(send(pool, number) for number in (0, 1)))
+                await asyncio.sleep(0.1)
+            return kinds
+        finally:
+            pool.close()
+            server.close()
+
+    assert asyncio.run(body()) == []
