Free a finished request and a read of the store at once

Operators would see: memory that grows for minutes under an even load, up to 100,000 objects, and a collection of all of them at once.

Cause: a request that is being served refers to its holder in the account, and the holder to the request through `give_way`; the request refers to its fanout with a group, two dicts and a list for each shard, and to the searchers of the view at its start. A read of the store (each 200 ms in the cluster) was in the same kind of cycle, with all that it had read.

Each owner closes its holder at its end. Relay, JSON client and links of peers do the same; their `give_way` referred to nothing that refers back.

--- a/citrondoor/entry/_relay.py
+++ b/citrondoor/entry/_relay.py
@@ -516,7 +516,7 @@
         batch, requester_token, upstream = self._served_sends.pop(token)
         batch.remaining_count -= 1
         if not batch.remaining_count:
-            batch.holder.release()
+            batch.holder.close()
         if upstream is not None:
             self._on_served_reply(upstream, reply)
         requester = (batch.requester, batch.origin)
--- a/citrondoor/entry/_running.py
+++ b/citrondoor/entry/_running.py
@@ -83,7 +83,7 @@
         """Drops all replies."""
         self.replies.clear()
         self.last_failure = None
-        self._holder.release()
+        self._holder.close()
 
     def _record_kept(self) -> None:
         kept_bytes = self._reply_bytes
--- a/citrondoor/links/_json_client.py
+++ b/citrondoor/links/_json_client.py
@@ -131,6 +131,6 @@
                 raise EOFError("connection closed before a complete response")
             return response
         finally:
-            holder.release()
+            holder.close()
             parser.drop()
             writer.transport.abort()
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -190,7 +190,7 @@
     def close(self) -> None:
         """Closes the connection at once."""
         self.writer.transport.abort()
-        self._holder.release()
+        self._holder.close()
 
     def _record_partial(self, received_bytes: int) -> None:
         self._partial_bytes = received_bytes
--- a/citrondoor/platform/_store.py
+++ b/citrondoor/platform/_store.py
@@ -105,7 +105,7 @@
                 if not reading.is_truncated:
                     return reading.contents
         finally:
-            reading.holder.release()
+            reading.holder.close()
         # Searchers that are missing in a part would be taken for gone.
         raise self._client.make_error(
             f"a listing of more than {_MAX_PAGES} pages"
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -3,6 +3,8 @@
 import random
 import time
 
+import pytest
+
 from citrondoor import clock as clocks
 from citrondoor import entry
 from citrondoor import fanout
@@ -12,6 +14,7 @@
 from citrondoor.entry import _dispatcher
 from citrondoor.schema import messages
 from citrondoor.schema import serving
+from tests import garbage
 from tests import serving_samples as samples
 
 OUTCOME = links.ExchangeOutcome
@@ -845,3 +848,24 @@
     answer = harness.serve(make_request("/a/x"))
     assert isinstance(answer, messages.Refusal)
     assert harness.dispatcher._account.kept_bytes == 0
+
+
+@pytest.mark.parametrize(
+    ("delay_s", "reply", "disconnect_after_s"),
+    [
+        (0.0, answered, None),
+        (0.0, lambda upstream: failed(), None),
+        (0.04, answered, 0.02),
+        (0.35, answered, None),
+    ],
+)
+def test_a_finished_request_leaves_nothing_for_a_garbage_collection(
+    delay_s, reply, disconnect_after_s
+):
+    def respond(upstream, outbound):
+        return delay_s, reply(upstream)
+
+    harness = Harness(respond, [SCATTER_ROUTE], REPLICAS)
+    with garbage.left_behind() as kinds:
+        harness.serve(make_request(), disconnect_after_s)
+    assert kinds == []
--- a/tests/links/test_json_client.py
+++ b/tests/links/test_json_client.py
@@ -9,6 +9,7 @@
 from citrondoor import links
 from citrondoor.links import _json_client
 from citrondoor.schema import serving
+from tests import garbage
 
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 # What a response begins with, and what follows without end.
@@ -104,3 +105,18 @@
 
     assert len(data) < _json_client.MAX_RESPONSE_BYTES
     asyncio.run(body())
+
+
+@pytest.mark.parametrize("name", ["answer", *ENDLESS])
+def test_a_request_leaves_nothing_for_a_garbage_collection(name):
+    answer = (b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}", b"")
+    first, following = ENDLESS.get(name, answer)
+
+    async def body():
+        async with serve(first, following, 200) as port:
+            with contextlib.suppress(errors.PlatformError):
+                await make_client(port).get("/a")
+
+    with garbage.left_behind() as kinds:
+        asyncio.run(body())
+    assert kinds == []
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 import asyncio
 import base64
+import contextlib
 
 import hypothesis
 import orjson
@@ -13,6 +14,7 @@
 from citrondoor.codecs import peers
 from citrondoor.platform import _store
 from citrondoor.schema import serving
+from tests import garbage
 
 REGISTRATION = {
     "service": "store",
@@ -439,3 +441,26 @@
         read(FakeStore(items, 100), account=account)
     assert account.kept_bytes == 0
     assert account.peak_bytes > 400_000
+
+
+@pytest.mark.parametrize("status", [200, 500])
+def test_a_read_leaves_nothing_for_a_garbage_collection(status):
+    fake = FakeStore([item("op/config", CONFIG)])
+    fake.status = status
+
+    async def body():
+        server = links.HttpServer(fake)
+        await server.start("127.0.0.1", 0)
+        client = _store.StoreClient(
+            serving.StoreSettings(f"127.0.0.1:{server.port}"),
+            lambda key, revision, reason: None,
+            limits.MemoryAccount(),
+        )
+        with garbage.left_behind() as kinds:
+            with contextlib.suppress(errors.PlatformError):
+                await client.read()
+            await asyncio.sleep(0.05)
+        await server.close(0)
+        return kinds
+
+    assert asyncio.run(body()) == []
