Free the transport of a closed connection at once

Operators would see: memory that grows with the connections that callers and reads of the store open, until a garbage collection after 100,000 objects.

Cause: asyncio's transport keeps a bound method of its own (`_read_ready_cb`, Python 3.11), also after the connection is lost: transport, socket, buffer and addresses wait for a collection.

Each protocol drops the reference when the connection is lost; no read can be queued then, as asyncio removes its reader before. It is a private attribute of asyncio; without it, nothing is done.

--- a/citrondoor/links/_connection.py
+++ b/citrondoor/links/_connection.py
@@ -9,6 +9,7 @@
 from citrondoor.links import _calls
 from citrondoor.links import _listening
 from citrondoor.links import _response_memory
+from citrondoor.links import _transports
 from citrondoor.schema import declarations
 
 
@@ -104,6 +105,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the awaited response; called by the event loop."""
         self._end(EOFError("the searcher closed the connection"))
+        _transports.release(self.transport)
 
     def send(self, call: _calls.Call) -> None:
         """Sends a call, unless the connection is closing.
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -15,6 +15,7 @@
 from citrondoor.links import _exchanges
 from citrondoor.links import _listening
 from citrondoor.links import _response_memory
+from citrondoor.links import _transports
 from citrondoor.schema import serving
 
 CONNECT_TIMEOUT_S = 1.0
@@ -202,6 +203,7 @@
         self._reader.drop()
         self._record_kept()
         self.wake()
+        _transports.release(self.transport)
 
     async def next_response(self) -> http1.Response:
         """Returns the next response.
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -19,6 +19,7 @@
 from citrondoor import limits as limiting
 from citrondoor.codecs import http1
 from citrondoor.links import _listening
+from citrondoor.links import _transports
 from citrondoor.schema import serving
 
 # Limits until the daemon has read its configuration: bytes of a head and of a
@@ -236,6 +237,7 @@
         """Marks the caller as disconnected; called by the event loop."""
         self._mark_disconnected()
         self._end_drain()
+        _transports.release(self.transport)
 
     @property
     def has_queued_request(self) -> bool:
--- a/citrondoor/links/_listening.py
+++ b/citrondoor/links/_listening.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 
 from citrondoor import clock as clocks
+from citrondoor.links import _transports
 
 BACKLOG = 1024
 # Pause before an address that is not available is tried again.
@@ -89,7 +90,7 @@
     host: str, port: int
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
     """Opens a connection whose local port stays usable for a listener."""
-    reader, writer = await asyncio.open_connection(host, port)
+    reader, writer = await _transports.open_streams(host, port)
     share_local_port(writer.transport)
     return reader, writer
 
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -22,6 +22,7 @@
 from citrondoor import limits
 from citrondoor.codecs import peers as codec
 from citrondoor.links import _listening
+from citrondoor.links import _transports
 from citrondoor.schema import messages
 from citrondoor.schema import serving
 
@@ -545,7 +546,7 @@
 
     def _open_streams(self, connection: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        protocol = asyncio.StreamReaderProtocol(
+        protocol = _transports.StreamProtocol(
             asyncio.StreamReader(), self._accept
         )
         task = asyncio.create_task(
