Report the event loop's delays in the summary and the metrics

A part measures how late pauses of 50 ms end; `summary` has the longest since the last one (`loop_late_ms`), the metrics the longest and the sum since the start. No fault is mended here.

--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -10,6 +10,7 @@
 from citrondoor import limits
 from citrondoor import links
 from citrondoor.codecs import http1
+from citrondoor.daemon import _loop_watch
 from citrondoor.schema import serving
 
 METRICS_PATH = "/metrics"
@@ -31,6 +32,7 @@
       bounds: Have the counters of connections that were turned away, by name
         of the address.
       listeners: Has the times at which the daemon began to listen.
+      loop_watch: Has the delays of the event loop.
       log: Has the counter of dropped lines.
       clock: Clock of the daemon.
     """
@@ -42,6 +44,7 @@
         "_dispatcher",
         "_listeners",
         "_log",
+        "_loop_watch",
         "_metrics",
         "_pool",
         "_relay",
@@ -58,6 +61,7 @@
         account: limits.MemoryAccount,
         bounds: dict[str, limits.ConnectionBound],
         listeners: links.Listeners,
+        loop_watch: _loop_watch.LoopWatch,
         log: entry.DecisionLog,
         clock: clocks.Clock,
     ):
@@ -69,6 +73,7 @@
         self._account = account
         self._bounds = bounds
         self._listeners = listeners
+        self._loop_watch = loop_watch
         self._log = log
         self._metrics = None
         self._server = links.HttpServer(
@@ -127,6 +132,11 @@
             "Most that the process kept resident, bytes.",
             peak_resident_bytes,
         )
+        metrics.add_gauge(
+            "citrondoor.loop.late.longest",
+            "Longest delay of the event loop since the start, ms.",
+            lambda: self._loop_watch.longest_ms,
+        )
         for name in ("front", "readiness", "directory", "peers", "metrics"):
             metrics.add_gauge(
                 f"citrondoor.listening.{name}",
@@ -159,6 +169,7 @@
             "aborts": self._pool.counters.aborts,
             "connections": self._pool.open_count,
             "log_dropped": self._log.dropped_count,
+            "loop_late_ms": self._loop_watch.take_recent_ms(),
             "resident_peak_mb": peak_resident_bytes() // limits.BYTES_PER_MB,
             "kept_peak": self._account.peak_bytes,
             "kept": self._by_sender(self._account.kept_bytes_of),
@@ -259,6 +270,11 @@
                 "Connections closed for want of descriptors.",
                 lambda bound=bound: bound.closed_count,
             )
+        yield (
+            "loop.late",
+            "Delays of the event loop, ms.",
+            lambda: self._loop_watch.total_ms,
+        )
         yield "log_dropped", "Lines left out.", lambda: self._log.dropped_count
 
 
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -23,6 +23,7 @@
 from citrondoor.daemon import _descriptors
 from citrondoor.daemon import _entry_metrics
 from citrondoor.daemon import _lifecycle
+from citrondoor.daemon import _loop_watch
 from citrondoor.daemon import _settings
 from citrondoor.daemon import _settings_watch
 from citrondoor.daemon import _supervisor
@@ -168,6 +169,7 @@
         "_lifecycle",
         "_listeners",
         "_log",
+        "_loop_watch",
         "_metrics",
         "_parts",
         "_peers",
@@ -202,6 +204,7 @@
         self._log = entry.DecisionLog(settings.vm, clock)
         for error in unknown_settings:
             self._on_unknown_setting(error)
+        self._loop_watch = _loop_watch.LoopWatch(clock)
         self._stopping = asyncio.Event()
         self._ending: endings.Ending | None = None
         self._parts = _supervisor.Parts(
@@ -298,6 +301,7 @@
             self._account,
             self._bounds,
             self._listeners,
+            self._loop_watch,
             self._log,
             self._clock,
         )
@@ -370,6 +374,7 @@
         self._parts.start("store_poller", self._poller.run)
         self._peers.connect()
         self._peers.announce_endpoint(self._endpoint(is_ready=False))
+        self._parts.start("loop_watch", self._loop_watch.run)
         self._parts.start("tick", self._tick_forever)
         self._parts.start("summary", self._summarize_forever)
         self._parts.start("settings_watch", self._watch_settings)
