Share the processor time of reading between wasteful callers

The cost of a flood was bounded for each connection only: one read of 256 KB is 43,000 calls of the parser, about 25 ms, and the event loop makes one for each connection in every turn.

The reader counts calls of the parser. A message may cost 256 and one for each 32 bytes, far above proper ones; what goes beyond is drawn from one budget of 20,000 a second for all connections of the daemon. When it is used up, such a connection is not read and waits for its turn, first come, first served; timers, signals and all other connections go on. One that is not complete after the time limit of a request, counted from its first wait, is refused as not run (503). What follows a refusal is drawn from the same budget.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -85,6 +85,10 @@
         self.status = status
 
 
+class WastefulError(ProtocolError):
+    """Raised for a message whose parts take too much processor time."""
+
+
 class Request:
     """A complete request of a caller.
 
@@ -284,6 +288,7 @@
       is_in_body: Whether a head is complete and its body is not.
       expects_continue: Whether the current request waits for a `100 Continue`
         response before it sends its body.
+      pieces: Calls of the parser for parts of messages; the owner resets it.
     """
 
     __slots__ = (
@@ -300,6 +305,7 @@
         "expects_continue",
         "is_in_body",
         "is_in_head",
+        "pieces",
     )
 
     def __init__(self, max_head_bytes: int, max_body_bytes: int):
@@ -309,6 +315,7 @@
         self._meter = FramingMeter(max_head_bytes)
         self._parser = httptools.HttpRequestParser(self)
         self._requests: list[Request] = []
+        self.pieces = 0
         self._error: ProtocolError | None = None
         self._reset()
 
@@ -376,12 +383,14 @@
 
     def on_url(self, url: bytes) -> None:
         """Adds a part of the target; called by the parser."""
+        self.pieces += 1
         self._target += url
         if len(self._target) > self._max_bytes[0]:
             self._reject(431, f"a target over {self._max_bytes[0]} bytes")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header or trailer; called by the parser."""
+        self.pieces += 1
         self._header_bytes += len(name) + len(value) + 4
         if self._header_bytes > self._max_bytes[0]:
             self._reject(431, f"a head over {self._max_bytes[0]} bytes")
@@ -404,6 +413,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Adds a part of the body; called by the parser."""
+        self.pieces += 1
         self._meter.record_body(len(data))
         if len(self._body) + len(data) > self._max_bytes[1]:
             self._reject(413, f"a body over {self._max_bytes[1]} bytes")
@@ -437,6 +447,9 @@
 
     Args:
       max_body_bytes: Maximum size of a body.
+
+    Attributes:
+      pieces: Calls of the parser for parts of messages; the owner resets it.
     """
 
     __slots__ = (
@@ -457,6 +470,7 @@
         "_reason",
         "_responses",
         "_status",
+        "pieces",
     )
 
     def __init__(self, max_body_bytes: int = MAX_RESPONSE_BODY_BYTES):
@@ -466,6 +480,7 @@
         )
         self._parser = httptools.HttpResponseParser(self)
         self._responses: list[Response] = []
+        self.pieces = 0
         self._error: ProtocolError | None = None
         self._status = 0
         self._reason = b""
@@ -580,11 +595,13 @@
 
     def on_status(self, reason: bytes) -> None:
         """Checks a part of the reason phrase; called by the parser."""
+        self.pieces += 1
         self._reason += reason
         self._check_is_no_start(self._reason)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; called by the parser."""
+        self.pieces += 1
         self._check_is_no_start(value)
         self._headers.append((name.lower(), value))
         self._head_bytes += len(name) + len(value) + _HEADER_SEPARATOR_BYTES
@@ -611,6 +628,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Adds a part of the body; called by the parser."""
+        self.pieces += 1
         size = len(data)
         self._new_body_bytes += size
         self._body_bytes += size
--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -33,6 +33,7 @@
         of the address.
       listeners: Has the times at which the daemon began to listen.
       loop_watch: Has the delays of the event loop.
+      turns: Has the counters of connections that send wastefully.
       log: Has the counter of dropped lines.
       clock: Clock of the daemon.
     """
@@ -50,6 +51,7 @@
         "_relay",
         "_server",
         "_settings",
+        "_turns",
     )
 
     def __init__(
@@ -62,6 +64,7 @@
         bounds: dict[str, limits.ConnectionBound],
         listeners: links.Listeners,
         loop_watch: _loop_watch.LoopWatch,
+        turns: links.ReadTurns,
         log: entry.DecisionLog,
         clock: clocks.Clock,
     ):
@@ -74,6 +77,7 @@
         self._bounds = bounds
         self._listeners = listeners
         self._loop_watch = loop_watch
+        self._turns = turns
         self._log = log
         self._metrics = None
         self._server = links.HttpServer(
@@ -81,6 +85,7 @@
             lambda: links.SMALL_LIMITS,
             account=account,
             bound=bounds["metrics"],
+            turns=turns,
         )
 
     def serve(self, listener: socket.socket) -> None:
@@ -170,6 +175,9 @@
             "connections": self._pool.open_count,
             "log_dropped": self._log.dropped_count,
             "loop_late_ms": self._loop_watch.take_recent_ms(),
+            "reads_waiting": self._turns.waiting_count,
+            "reads_refused": self._turns.refused_count,
+            "wasted_pieces": self._turns.wasted_pieces,
             "resident_peak_mb": peak_resident_bytes() // limits.BYTES_PER_MB,
             "kept_peak": self._account.peak_bytes,
             "kept": self._by_sender(self._account.kept_bytes_of),
@@ -275,6 +283,16 @@
             "Delays of the event loop, ms.",
             lambda: self._loop_watch.total_ms,
         )
+        yield (
+            "reads.refused",
+            "Requests refused as their parts take too much processor time.",
+            lambda: self._turns.refused_count,
+        )
+        yield (
+            "reads.wasted",
+            "Calls of parsers beyond those of proper messages.",
+            lambda: self._turns.wasted_pieces,
+        )
         yield "log_dropped", "Lines left out.", lambda: self._log.dropped_count
 
 
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -184,6 +184,7 @@
         "_settings_watch",
         "_stopping",
         "_store",
+        "_turns",
         "_view",
     )
 
@@ -219,6 +220,7 @@
             self._on_settings,
             self._log.write,
         )
+        self._turns = links.ReadTurns(clock)
         self._account = limits.MemoryAccount(limits.kept_limit_bytes(settings))
         self._descriptors = limits.DescriptorShares(
             _descriptors.raise_limit(), settings.max_fds
@@ -302,6 +304,7 @@
             self._bounds,
             self._listeners,
             self._loop_watch,
+            self._turns,
             self._log,
             self._clock,
         )
@@ -317,12 +320,14 @@
             self._on_request_error,
             self._account,
             self._bounds["front"],
+            self._turns,
         )
         self._readiness_server = links.HttpServer(
             self._adapter.make_readiness_handler(lambda: self._is_ready),
             lambda: links.SMALL_LIMITS,
             account=self._account,
             bound=self._bounds["readiness"],
+            turns=self._turns,
         )
         self._directory_server = links.HttpServer(
             self._adapter.make_directory_handler(
@@ -331,6 +336,7 @@
             lambda: links.SMALL_LIMITS,
             account=self._account,
             bound=self._bounds["directory"],
+            turns=self._turns,
         )
 
     @property
--- a/citrondoor/limits/__init__.py
+++ b/citrondoor/limits/__init__.py
@@ -14,6 +14,9 @@
 from citrondoor.limits._rates import STARTUP_LEASE_WAIT_MS
 from citrondoor.limits._rates import CustomerRateLimiter
 from citrondoor.limits._rates import RateLimiterTable
+from citrondoor.limits._read_budget import READ_PIECES
+from citrondoor.limits._read_budget import MessageEffort
+from citrondoor.limits._read_budget import ReadBudget
 from citrondoor.limits._shares import MAX_OWNERS
 from citrondoor.limits._shares import OwnerShares
 from citrondoor.limits._shares import assign_owners
@@ -23,6 +26,7 @@
 __all__ = [
     "BYTES_PER_MB",
     "MAX_OWNERS",
+    "READ_PIECES",
     "STARTUP_LEASE_WAIT_MS",
     "Admission",
     "Borrower",
@@ -33,9 +37,11 @@
     "Holder",
     "Lender",
     "MemoryAccount",
+    "MessageEffort",
     "OfferResult",
     "OwnerShares",
     "RateLimiterTable",
+    "ReadBudget",
     "TokenBucket",
     "WarmupLimiter",
     "assign_owners",
--- a/citrondoor/links/__init__.py
+++ b/citrondoor/links/__init__.py
@@ -19,6 +19,7 @@
 from citrondoor.links._peers import PeerServer
 from citrondoor.links._peers import PeerSettings
 from citrondoor.links._platform import PlatformClient
+from citrondoor.links._read_turns import ReadTurns
 from citrondoor.links._searcher import SearcherLink
 from citrondoor.links._upstreams import UpstreamPool
 
@@ -38,6 +39,7 @@
     "PeerServer",
     "PeerSettings",
     "PlatformClient",
+    "ReadTurns",
     "SearcherCodec",
     "SearcherLink",
     "UpstreamCounters",
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -19,6 +19,7 @@
 from citrondoor import limits as limiting
 from citrondoor.codecs import http1
 from citrondoor.links import _listening
+from citrondoor.links import _read_turns
 from citrondoor.links import _transports
 from citrondoor.schema import serving
 
@@ -33,6 +34,8 @@
 # Received bytes are parsed in parts of this size, so that few requests are
 # queued above the limit.
 PARSED_AT_ONCE_BYTES = 4096
+# Bytes that are read at a time: a connection that may not go on keeps them.
+MAX_READ_BYTES = 65_536
 # An answer that the caller has not read after this time has no end in sight.
 UNREAD_ANSWER_MS = 250
 # After a refusal, the caller may go on sending for this long; closing the
@@ -80,6 +83,7 @@
     Args:
       limits: Limits of a head and of a body.
       account: Where the memory of requests and answers is recorded.
+      turns: Turns of the connections that send wastefully.
 
     Attributes:
       disconnected: Completes when the caller disconnects.
@@ -89,14 +93,18 @@
     """
 
     __slots__ = (
+        "_effort",
         "_error",
         "_head_began_at",
+        "_is_waiting",
         "_queued_bytes",
         "_reader",
         "_received",
         "_requests",
         "_stop_at",
+        "_turns",
         "_unparsed",
+        "_waits_since",
         "_wake_future",
         "_writable",
         "disconnected",
@@ -108,7 +116,12 @@
         self,
         limits: serving.CallerLimits,
         account: limiting.MemoryAccount,
+        turns: _read_turns.ReadTurns,
     ):
+        self._turns = turns
+        self._effort = limiting.MessageEffort()
+        # Whether it is not read until its turn comes.
+        self._is_waiting = False
         # Of requests that are partly received or queued.
         self._received = account.open(serving.Sender.CALLER, self._give_way)
         self.in_use = account.open(serving.Sender.CALLER, self._abort)
@@ -121,8 +134,10 @@
         self._wake_future: asyncio.Future | None = None
         self._writable: asyncio.Future | None = None
         self._error: http1.ProtocolError | None = None
-        # Times of the event loop in seconds, or None.
+        # Times of the event loop in seconds, or None. The second is when the
+        # request in part first waited for its turn.
         self._head_began_at: float | None = None
+        self._waits_since: float | None = None
         self._stop_at: float | None = None
         self.disconnected = asyncio.get_running_loop().create_future()
         self.transport: asyncio.Transport | None = None
@@ -132,6 +147,7 @@
         self.transport = transport
         # `drain` waits until the kernel has all bytes of an answer.
         transport.set_write_buffer_limits(high=0)
+        transport.max_size = MAX_READ_BYTES
 
     def pause_writing(self) -> None:
         """Makes `drain` wait; called by the event loop."""
@@ -144,13 +160,51 @@
     def data_received(self, data: bytes) -> None:
         """Parses received bytes; called by the event loop."""
         if self._error is not None:
+            if not self._turns.spend_discarded(len(data)):
+                self._wait_turn()
             return
         self._unparsed = self._unparsed + data if self._unparsed else data
+        self._charge(limiting.READ_PIECES, 0)
+        self._go_on()
+
+    def _go_on(self) -> None:
         self._parse()
-        if self._unparsed:
-            self.transport.pause_reading()
+        self._set_reading()
         self._wake()
 
+    def _set_reading(self) -> None:
+        if self._unparsed or self._is_waiting:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    def _charge(self, pieces: int, byte_count: int) -> None:
+        """Records the cost of reading or parsing; wasteful work may wait."""
+        wasteful = self._effort.record(pieces, byte_count)
+        if wasteful and not self._turns.spend(wasteful):
+            if self._waits_since is None:
+                self._waits_since = asyncio.get_running_loop().time()
+            self._wait_turn()
+
+    def _wait_turn(self) -> None:
+        if self.transport.is_closing():
+            return
+        self._is_waiting = True
+        self.transport.pause_reading()
+        self._turns.wait(self._take_turn)
+
+    def _take_turn(self) -> None:
+        self._is_waiting = False
+        if self._error is not None:
+            self.transport.resume_reading()
+            return
+        self._go_on()
+
+    def _leave_turns(self) -> None:
+        if self._is_waiting:
+            self._is_waiting = False
+            self._turns.leave(self._take_turn)
+
     def _parse(self) -> None:
         """Parses received bytes, until enough requests are queued."""
         data, self._unparsed = self._unparsed, b""
@@ -159,12 +213,20 @@
             while (
                 position < len(data)
                 and len(self._requests) <= MAX_PIPELINED_REQUESTS
+                and not self._is_waiting
             ):
-                end = position + PARSED_AT_ONCE_BYTES
-                for request in self._reader.feed(data[position:end]):
+                part = data[position : position + PARSED_AT_ONCE_BYTES]
+                position += len(part)
+                requests = self._reader.feed(part)
+                for request in requests:
                     self._requests.append(request)
                     self._queued_bytes += request.kept_bytes
-                position = end
+                pieces, self._reader.pieces = self._reader.pieces, 0
+                if requests:
+                    self._effort.reset()
+                    self._waits_since = None
+                else:
+                    self._charge(pieces, len(part))
         except http1.ProtocolError as error:
             # A new one: the frames of a raised one keep the received bytes.
             self._fail(http1.ProtocolError(error.status, str(error)))
@@ -184,6 +246,7 @@
         self._error = error
         self._head_began_at = None
         self._unparsed = b""
+        self._leave_turns()
         self._reader.drop()
         self._record_received()
         if self.transport is not None:
@@ -235,6 +298,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Marks the caller as disconnected; called by the event loop."""
+        self._leave_turns()
         self._mark_disconnected()
         self._end_drain()
         _transports.release(self.transport)
@@ -247,7 +311,11 @@
     @property
     def has_partial_request(self) -> bool:
         """Whether a request has been received in part only."""
-        return self._reader.is_in_head or self._reader.is_in_body
+        return (
+            self._reader.is_in_head
+            or self._reader.is_in_body
+            or self._waits_since is not None
+        )
 
     async def next_request(
         self, idle_timeout_ms: int, request_timeout_ms: int
@@ -277,17 +345,14 @@
                 if self._requests:
                     break
                 if was_partial or self.has_partial_request:
-                    self._fail(
-                        http1.ProtocolError(408, "a request that stalls")
-                    )
+                    self._fail(self._too_late())
                     raise self._error
                 return None
         request = self._requests.popleft()
         self._queued_bytes -= request.kept_bytes
         if self._unparsed:
             self._parse()
-        if not self._unparsed:
-            self.transport.resume_reading()
+        self._set_reading()
         self.in_use.record(request.kept_bytes, is_complete=True)
         self._record_received()
         return request
@@ -337,6 +402,17 @@
             self._writable.set_result(None)
         self._writable = None
 
+    def _too_late(self) -> http1.ProtocolError:
+        """Returns why a request that is not complete in time is refused."""
+        if self._waits_since is None:
+            return http1.ProtocolError(408, "a request that stalls")
+        self._turns.refused_count += 1
+        return http1.WastefulError(
+            503,
+            "the messages of all senders take too much processor time, and this"
+            " request comes in too many tiny parts",
+        )
+
     def _remaining_s(
         self, idle_timeout_ms: int, request_timeout_ms: int
     ) -> float:
@@ -344,9 +420,10 @@
         now = asyncio.get_running_loop().time()
         if self.has_partial_request:
             timeout_s = request_timeout_ms / clocks.MS_PER_S
-            if self._head_began_at is None:
-                return timeout_s
-            return self._head_began_at + timeout_s - now
+            began_at = [now, self._head_began_at, self._waits_since]
+            return min(at for at in began_at if at is not None) + (
+                timeout_s - now
+            )
         timeout_s = idle_timeout_ms / clocks.MS_PER_S
         if self._stop_at is None:
             return timeout_s
@@ -415,6 +492,8 @@
       account: Where the memory of requests and answers is recorded; None leaves
         them to the limits of each connection.
       bound: Bounds the open connections; None for no bound.
+      turns: Turns of the connections that send wastefully; None for turns of
+        this server alone.
     """
 
     __slots__ = (
@@ -428,6 +507,7 @@
         "_on_error",
         "_surplus",
         "_tasks",
+        "_turns",
         "accept_failures",
         "active_requests",
     )
@@ -439,7 +519,9 @@
         on_error: Callable[[Exception], None] = lambda error: None,
         account: limiting.MemoryAccount | None = None,
         bound: limiting.ConnectionBound | None = None,
+        turns: _read_turns.ReadTurns | None = None,
     ):
+        self._turns = turns or _read_turns.ReadTurns(clocks.Clock())
         self._account = account or limiting.MemoryAccount()
         self._bound = bound
         self._handler = handler
@@ -470,6 +552,11 @@
             listener, self._open_channel, self._on_accept_error
         )
 
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self._channels)
+
     def begin_drain(self) -> None:
         """Closes each connection once its received requests are answered.
 
@@ -504,7 +591,9 @@
         if admission is limiting.Admission.CLOSE:
             connection.close()
             return
-        channel = _Channel(self._get_limits() or DEFAULT_LIMITS, self._account)
+        channel = _Channel(
+            self._get_limits() or DEFAULT_LIMITS, self._account, self._turns
+        )
         if admission is limiting.Admission.REPLACE:
             self._close_oldest()
         elif admission is limiting.Admission.REFUSE:
--- a/citrondoor/platform/_callers.py
+++ b/citrondoor/platform/_callers.py
@@ -96,6 +96,8 @@
 
 
 def _make_refusal(error: http1.ProtocolError) -> messages.Refusal:
+    if isinstance(error, http1.WastefulError):
+        return refusals.too_wasteful(str(error))
     if error.status == 431:
         return refusals.head_too_large(str(error))
     refusal = refusals.malformed(str(error), "send well-formed HTTP/1.1")
--- a/citrondoor/refusals.py
+++ b/citrondoor/refusals.py
@@ -13,6 +13,7 @@
 OVERLOAD_RETRY_AFTER_MS = 100
 NOT_READY_RETRY_AFTER_MS = 500
 UNAVAILABLE_RETRY_AFTER_MS = 250
+WASTEFUL_RETRY_AFTER_MS = 1000
 MEMORY_RETRY_AFTER_MS = 500
 CONNECTIONS_RETRY_AFTER_MS = 1000
 
@@ -145,6 +146,21 @@
     )
 
 
+def too_wasteful(reason: str) -> messages.Refusal:
+    """All senders take too much processor time, and this request the most.
+
+    Args:
+      reason: What is wrong with the request.
+    """
+    return messages.Refusal(
+        _Kind.OVERLOADED,
+        reason,
+        "send the same request in larger parts, later or to another entry",
+        _NO,
+        WASTEFUL_RETRY_AFTER_MS,
+    )
+
+
 def too_many_connections() -> messages.Refusal:
     """The daemon has its maximum number of callers' connections."""
     return messages.Refusal(
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -1,5 +1,7 @@
 import asyncio
+import contextlib
 import gc
+import socket
 
 import pytest
 
@@ -624,3 +626,75 @@
         assert kinds == []
 
     run(body())
+
+
+def chunked(byte_count):
+    head = b"POST /c HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+    return head + b"1\r\na\r\n" * byte_count + b"0\r\n\r\n"
+
+
+# One body of each caller takes the daemon's parser about 100 ms.
+FLOOD_CALLERS = 20
+FLOOD_LIMITS = serving.CallerLimits(400, 262_144, 500, 500)
+
+
+@contextlib.asynccontextmanager
+async def run_flooded_server():
+    server = await start(EchoHandler(), caller_limits=FLOOD_LIMITS)
+    # All of it is in the kernel before the server reads any.
+    with contextlib.ExitStack() as stack:
+        for _ in range(FLOOD_CALLERS):
+            sock = socket.create_connection(("127.0.0.1", server.port))
+            stack.enter_context(sock)
+            sock.setblocking(False)
+            sock.send(chunked(150_000)[:-5])
+        yield server
+    # Connections that are not read are closed at their time limit.
+    async with asyncio.timeout(5):
+        while server.open_count:
+            await asyncio.sleep(0.05)
+
+
+def test_tiny_chunks_of_many_callers_do_not_hold_up_a_sound_one():
+    async def body():
+        loop = asyncio.get_running_loop()
+        longest_s = 0.0
+        async with run_flooded_server() as server:
+            for _ in range(20):
+                began_at = loop.time()
+                assert b" 200 " in await exchange(server, GET)
+                longest_s = max(longest_s, loop.time() - began_at)
+                await asyncio.sleep(0.01)
+        return longest_s
+
+    assert run(body()) < 0.1
+
+
+def test_a_wasteful_request_is_refused_as_not_run_while_others_waste_more():
+    async def body():
+        async with run_flooded_server() as server:
+            return await exchange(server, chunked(100_000))
+
+    assert run(body()).startswith(b"HTTP/1.1 503 ")
+
+
+def test_a_wasteful_request_is_answered_when_nobody_else_is_wasteful():
+    async def body():
+        handler = EchoHandler()
+        server = await start(handler, caller_limits=FLOOD_LIMITS)
+        answer = await exchange(server, chunked(8_000))
+        return answer, handler.requests[0].body
+
+    answer, received = run(body())
+    assert b" 200 " in answer
+    assert received == b"a" * 8_000
+
+
+def test_callers_that_leave_while_they_wait_do_not_stay_open():
+    async def body():
+        async with run_flooded_server() as server:
+            await asyncio.sleep(0.1)
+            open_count = server.open_count
+        return open_count, server.open_count
+
+    assert run(body()) == (FLOOD_CALLERS, 0)
--- a/tests/links/test_transports.py
+++ b/tests/links/test_transports.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from citrondoor import clock as clocks
 from citrondoor import limits
 from citrondoor import links
 from citrondoor.links import _calls
@@ -22,7 +23,9 @@
 
 async def close_caller_connection(port):
     channel = _http_server._Channel(
-        _http_server.DEFAULT_LIMITS, limits.MemoryAccount()
+        _http_server.DEFAULT_LIMITS,
+        limits.MemoryAccount(),
+        links.ReadTurns(clocks.Clock()),
     )
     transport = await connect(channel, port)
     channel.release()
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -134,3 +134,13 @@
     response = handler.refuse(http1.ProtocolError(503, "too much memory"))
     assert response.status == 503
     assert response.header_value(b"retry-after") == b"0.500"
+
+
+def test_a_wasteful_request_is_refused_as_not_run_and_the_reason_is_named():
+    refused = []
+    handler = _callers.CallerHandler(None, None, refused.append, None, None)
+    response = handler.refuse(http1.WastefulError(503, "tiny parts"))
+    assert response.status == 503
+    assert response.header_value(b"retry-after") == b"1.000"
+    assert [refusal.ran for refusal in refused] == [messages.Ran.NO]
+    assert refused[0].detail == "tiny parts"
