Build: replace libraries and package in one step

A start during a build failed: the build moved the package away before it put the new one in its place, and for other libraries it removed those that running daemons still import, for as long as pip took.

The new tests fail before: 'assert 2463 == 0' and 'assert (0, 68690) == (0, 0)' (looks that missed a file).

--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -3,6 +3,7 @@
 import shutil
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -11,9 +12,11 @@
 PYTHON = f"""#!/bin/sh
 case "$*" in
 *"pip install"*)
-  mkdir -p target/deps
-  echo "$MACHINE" > target/deps/installed
   echo pip >> calls
+  while [ "$1" != --target ]; do shift; done
+  sleep "$PIP_S"
+  mkdir -p "$2"
+  echo "$MACHINE" > "$2/installed"
   ;;
 *) exec {sys.executable} "$@" ;;
 esac
@@ -26,23 +29,30 @@
     (tmp_path / "deploy").mkdir()
     shutil.copy(SCRIPT, tmp_path / "deploy")
     (tmp_path / "deploy" / "requirements.txt").write_text("orjson\n")
-    (tmp_path / "citrondoor").mkdir()
+    (tmp_path / "constraints.txt").write_text("orjson==1\n")
+    (tmp_path / "citrondoor" / "platform").mkdir(parents=True)
     (tmp_path / "citrondoor" / "__init__.py").write_text("")
+    (tmp_path / "citrondoor" / "platform" / "_command.py").write_text("")
     programs = tmp_path / "bin"
     programs.mkdir()
     write_program(programs / "python3", PYTHON)
 
-    def run(machine):
+    def start(machine, pip_s=0.0):
         write_program(programs / "uname", f"#!/bin/sh\necho {machine}\n")
         path = f"{programs}:{os.environ['PATH']}"
-        subprocess.run(
+        return subprocess.Popen(
             ["sh", "deploy/build.sh"],
             cwd=tmp_path,
-            env=os.environ | {"PATH": path, "MACHINE": machine},
-            check=True,
+            env=os.environ
+            | {"PATH": path, "MACHINE": machine, "PIP_S": str(pip_s)},
         )
+
+    def run(machine):
+        assert start(machine).wait() == 0
         return tmp_path
 
+    run.start = start
+    run.folder = tmp_path
     return run
 
 
@@ -62,3 +72,53 @@
     build("x86_64")
     folder = build("x86_64")
     assert (folder / "calls").read_text() == "pip\n"
+
+
+def change_package(folder, number):
+    path = folder / "citrondoor" / "__init__.py"
+    path.write_text(f"number = {number}\n")
+
+
+def test_a_start_during_a_build_finds_the_whole_package(build):
+    # A build moved the package away before it put the new one in its place.
+    build("x86_64")
+    package = build.folder / "target/deps/citrondoor/__init__.py"
+    misses = 0
+    for number in range(8):
+        change_package(build.folder, number)
+        process = build.start("x86_64")
+        while process.poll() is None:
+            misses += not package.exists()
+        assert process.returncode == 0
+        assert package.read_text() == f"number = {number}\n"
+    assert misses == 0
+
+
+def test_a_build_leaves_the_libraries_while_it_installs_others(build):
+    # A build removed the libraries that running daemons still imported.
+    build("x86_64")
+    process = build.start("aarch64", pip_s=0.3)
+    misses = 0
+    while process.poll() is None:
+        misses += not (build.folder / "target/deps/installed").exists()
+    assert (process.returncode, misses) == (0, 0)
+
+
+def test_builds_at_the_same_time_succeed(build):
+    # The second removed what the first had installed.
+    first = build.start("x86_64", pip_s=0.6)
+    time.sleep(0.2)
+    second = build.start("x86_64", pip_s=0.6)
+    assert (first.wait(), second.wait()) == (0, 0)
+    assert (build.folder / "target/deps/installed").exists()
+    assert (build.folder / "target/deps/citrondoor/__init__.py").exists()
+
+
+def test_an_interrupted_build_is_made_up_for_by_the_next(build):
+    process = build.start("x86_64", pip_s=2.0)
+    while not (build.folder / "calls").exists():
+        time.sleep(0.01)
+    process.kill()
+    process.wait()
+    folder = build("x86_64")
+    assert (folder / "target/deps/citrondoor/__init__.py").exists()
