--- a/tests/platform/test_build.py
+++ b/tests/platform/test_build.py
@@ -122,3 +122,27 @@
     process.wait()
     folder = build("x86_64")
     assert (folder / "target/deps/citrondoor/__init__.py").exists()
+
+
+def test_a_start_imports_all_modules_from_one_build(tmp_path):
+    # A build in between mixed modules of two versions.
+    for name in ("old", "new"):
+        package = tmp_path / name / "citrondoor" / "platform"
+        package.mkdir(parents=True)
+        (package / "_command.py").write_text(f"print({name!r})\n")
+        (package / "__main__.py").write_text(
+            "import os\n"
+            "os.replace('link', 'deps')\n"
+            "def main():\n"
+            "    from citrondoor.platform import _command\n"
+        )
+    (tmp_path / "deps").symlink_to("old")
+    (tmp_path / "link").symlink_to("new")
+    result = subprocess.run(
+        [sys.executable, "-S", "-P", SCRIPT.with_name("entry.py")],
+        cwd=tmp_path,
+        env={"PYTHONPATH": "deps"},
+        capture_output=True,
+        text=True,
+    )
+    assert (result.stdout, result.stderr) == ("old\n", "")
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -149,6 +149,24 @@
     assert result.stdout.split() == sorted([*parents, "citrondoor.signals"])
 
 
+def test_signals_are_blocked_before_the_package_is_searched_for(tmp_path):
+    # FAULT: a slow disk left them open meanwhile.
+    package = tmp_path / "citrondoor"
+    (package / "platform").mkdir(parents=True)
+    (package / "__init__.py").write_text(
+        "import _signal\n"
+        "print(sum(map(int, _signal.pthread_sigmask(_signal.SIG_BLOCK, ()))))\n"
+    )
+    (package / "platform" / "__main__.py").write_text("def main(): pass\n")
+    result = subprocess.run(
+        [sys.executable, "-S", "-P", deployments.ROOT / "deploy" / "entry.py"],
+        env={"PYTHONPATH": str(tmp_path)},
+        capture_output=True,
+        text=True,
+    )
+    assert (result.stdout, result.stderr) == (f"{sum(signals.HANDLED)}\n", "")
+
+
 def test_importing_the_package_leaves_the_signal_mask():
     program = (
         "import signal; before = signal.pthread_sigmask(signal.SIG_BLOCK, ());"
