Write the last log lines without the help of the log's thread

The end waited 0.2 s for the log's thread, which sleeps 50 ms before it writes and needs processor time then; what it had not written was lost with the process. On a machine where it gets none, all lines are: a real daemon whose thread is kept asleep ended with code 0 and an empty log after SIGTERM ('IndexError: list index out of range' in the new test; 'assert [] == ['started', 'stopped']' in that of the log). If the thread could not be started, the end by that error raised again, and left a traceback with code 1 in place of `ended`.

close() now writes the lines itself. A lock keeps lines in order beside the thread; a thread that is in a blocked write keeps the lock, and the end gives up after 0.2 s as before. It asks poll() before each write of PIPE_BUF bytes, so that a full pipe does not hold it up.

--- a/citrondoor/entry/_decision_log.py
+++ b/citrondoor/entry/_decision_log.py
@@ -9,6 +9,7 @@
 import collections
 import json
 import os
+import select
 import sys
 import threading
 import time
@@ -59,6 +60,7 @@
         "_thread",
         "_vm",
         "_wakeup",
+        "_writing",
         "dropped_count",
     )
 
@@ -72,6 +74,8 @@
         )
         self._queue: collections.deque[bytes] = collections.deque()
         self._wakeup = threading.Event()
+        # Held by the thread that takes lines from the queue and writes them.
+        self._writing = threading.Lock()
         self._thread: threading.Thread | None = None
         self._is_closing = False
         self._is_line_cut = False
@@ -86,11 +90,21 @@
         self._thread.start()
 
     def close(self, timeout_s: float = 0.2) -> None:
-        """Writes the queued lines, waiting at most `timeout_s` for that."""
+        """Writes the queued lines, waiting at most `timeout_s` for that.
+
+        It writes them itself, because on a busy machine the log's thread may
+        not run in that time.
+        """
+        ends_at = self._clock.now() + int(timeout_s * clocks.MS_PER_S)
         self._is_closing = True
         self._wakeup.set()
+        if self._writing.acquire(timeout=timeout_s):
+            try:
+                self._write_queued(ends_at)
+            finally:
+                self._writing.release()
         if self._thread is not None:
-            self._thread.join(timeout_s)
+            self._thread.join(self._remaining_ms(ends_at) / clocks.MS_PER_S)
 
     def write(self, event: str, **fields) -> None:
         """Queues a line about a change of state, without a rate limit.
@@ -127,28 +141,49 @@
             if not self._is_closing:
                 time.sleep(BATCH_DELAY_S)
             self._wakeup.clear()
-            lines = []
-            while self._queue:
-                lines.append(self._queue.popleft())
-            if not self._write_out(b"".join(lines)):
-                self.dropped_count += len(lines)
+            with self._writing:
+                self._write_queued(None)
             if self._is_closing and not self._queue:
                 return
 
-    def _write_out(self, data: bytes) -> bool:
-        """Writes lines; returns whether all of them were written."""
+    def _write_queued(self, ends_at: int | None) -> None:
+        lines = []
+        while self._queue:
+            lines.append(self._queue.popleft())
+        if not self._write_out(b"".join(lines), ends_at):
+            self.dropped_count += len(lines)
+
+    def _write_out(self, data: bytes, ends_at: int | None) -> bool:
+        """Writes lines; returns whether all of them were written.
+
+        Args:
+          data: The lines.
+          ends_at: Time in ms after which it gives up; None to wait for ever.
+        """
         if self._descriptor is None:
             return False
         rest = b"\n" + data if self._is_line_cut else data
         try:
             while rest:
-                rest = rest[os.write(self._descriptor, rest) :]
+                if ends_at is not None and not self._can_write(ends_at):
+                    return False
+                size = len(rest) if ends_at is None else select.PIPE_BUF
+                rest = rest[os.write(self._descriptor, rest[:size]) :]
                 self._is_line_cut = rest != b""
         except OSError:
             # The log's reader is gone; the daemon keeps serving without it.
             return False
         return True
 
+    def _can_write(self, ends_at: int) -> bool:
+        """Returns whether `PIPE_BUF` bytes can be written without blocking."""
+        poll = select.poll()
+        poll.register(self._descriptor, select.POLLOUT)
+        return bool(poll.poll(self._remaining_ms(ends_at)))
+
+    def _remaining_ms(self, ends_at: int) -> int:
+        return max(0, ends_at - self._clock.now())
+
 
 def _encode(line: dict) -> bytes:
     try:
--- a/citrondoor/platform/_command.py
+++ b/citrondoor/platform/_command.py
@@ -119,7 +119,6 @@
 def _log_end(vm: str, ending: endings.Ending) -> endings.ExitCode:
     """Writes the last log line of a process whose daemon does not run."""
     log = entry.DecisionLog(vm, clocks.Clock())
-    log.start()
     log.write("ended", **ending.fields)
     log.close()
     return ending.code
--- a/tests/entry/test_decision_log.py
+++ b/tests/entry/test_decision_log.py
@@ -1,6 +1,7 @@
 import contextlib
 import os
 import sys
+import threading
 
 import orjson
 import pytest
@@ -46,6 +47,38 @@
     }
 
 
+def test_closing_writes_lines_for_which_the_thread_gets_no_time(
+    pipe, monkeypatch
+):
+    # A process ended with code 0 and without any line of its log.
+    is_asleep = threading.Event()
+    wakes = threading.Event()
+
+    def sleep(seconds):
+        is_asleep.set()
+        wakes.wait(5.0)
+
+    monkeypatch.setattr(_decision_log.time, "sleep", sleep)
+    log = make_log(pipe[1])
+    log.write("started")
+    assert is_asleep.wait(5.0)
+    log.write("stopped")
+    log.close()
+    lines = read_lines(pipe[0])
+    wakes.set()
+    log.close(timeout_s=5.0)
+    assert [line["event"] for line in lines] == ["started", "stopped"]
+    assert read_lines(pipe[0]) == []
+
+
+def test_closing_writes_the_lines_of_a_log_without_a_thread(pipe):
+    # If no thread could be started, the end left no line.
+    log = _decision_log.DecisionLog("vm-1", clocks.Clock(), pipe[1])
+    log.write("ended")
+    log.close()
+    assert [line["event"] for line in read_lines(pipe[0])] == ["ended"]
+
+
 def test_the_thread_survives_that_standard_output_is_closed(monkeypatch):
     # The thread ended with an AttributeError, and no line was counted.
     monkeypatch.setattr(sys, "stdout", None)
--- a/tests/platform/test_endings.py
+++ b/tests/platform/test_endings.py
@@ -13,6 +13,7 @@
 from citrondoor.daemon import entry_daemon
 from citrondoor.daemon import _entry_metrics
 from citrondoor.daemon import _settings_watch
+from citrondoor.entry import _decision_log
 from citrondoor.entry import _peer_network
 from citrondoor.platform import __main__
 
@@ -56,6 +57,11 @@
             4,
             {"event": "ended", "reason": "error", "part": "process"},
         ),
+        (
+            ["_decision_log.DecisionLog.start = fail"],
+            4,
+            {"event": "ended", "reason": "error", "part": "process"},
+        ),
         (
             ["_peer_network.PeerNetwork.tick = fail"]
             + ["error = errors.InvariantError"],
@@ -77,6 +83,26 @@
     assert "unexpected" in record["error"]
 
 
+def test_a_stopped_daemon_whose_log_thread_gets_no_time_has_a_last_line(
+    tmp_path,
+):
+    # It ended with code 0 and without any line.
+    async def body():
+        failure = "_decision_log.BATCH_DELAY_S = 60.0"
+        daemon = await start(tmp_path, [failure])
+        while not test_signals.is_safe(daemon.process.pid):
+            await asyncio.sleep(0.001)
+        daemon.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(test_signals.TIMEOUT_S):
+            code = await daemon.process.wait()
+        return code, [record["event"] for record in daemon.log_records()]
+
+    code, events = asyncio.run(body())
+    assert code == 0
+    assert events[0] == "started"
+    assert events[-1] == "stopped"
+
+
 def test_an_error_during_the_shutdown_has_a_code_and_a_last_line(tmp_path):
     async def body():
         failure = "_peer_network.PeerNetwork.close = fail"
