Let a long idle connection give way to a new caller

New callers were refused, or closed, while connections that nobody had used for long kept the callers' share of descriptors until the idle time limit: in the new test 'HTTP/1.1 503 Service Unavailable' for the request of a fifth caller beside three idle connections of four.

The request of a connection beyond the bound now takes the place of the longest idle one. That one has been idle for half of the limit at least, since its caller may use it for four fifths of the limit and a request under way would be lost; it has no request in progress, none received in part, and nothing unread in the kernel. It closes through its own task, as at a shutdown. Connecting alone closes nobody, so a caller that opens connections without requests can't put the others out. Idle connections are kept in their order, so that the longest idle one is the first.

--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -293,6 +293,11 @@
             "Calls of parsers beyond those of proper messages.",
             lambda: self._turns.wasted_pieces,
         )
+        yield (
+            "connections.gave_way.front",
+            "Idle connections closed for the request of a new caller.",
+            lambda: self._bounds["front"].gave_way_count,
+        )
         yield "log_dropped", "Lines left out.", lambda: self._log.dropped_count
 
 
--- a/citrondoor/limits/_descriptors.py
+++ b/citrondoor/limits/_descriptors.py
@@ -17,6 +17,9 @@
 # For each of the addresses that are not for requests of callers.
 SIDE_SHARE = 0.02
 _LEAST_CONNECTIONS = 4
+# Part of the idle time limit after which an idle connection gives way: its
+# caller may still use it, and a request that is under way then is lost.
+IDLE_SHARE = 0.5
 
 
 class Admission(enum.Enum):
@@ -43,12 +46,14 @@
     Attributes:
       refused_count: Connections whose requests were refused.
       closed_count: Connections closed without an answer.
+      gave_way_count: Idle connections closed for a new caller's request.
     """
 
     __slots__ = (
         "_max_served",
         "_max_surplus",
         "closed_count",
+        "gave_way_count",
         "refused_count",
     )
 
@@ -56,6 +61,7 @@
         self._max_served = max_served
         self._max_surplus = max_surplus
         self.closed_count = 0
+        self.gave_way_count = 0
         self.refused_count = 0
 
     @property
@@ -77,6 +83,19 @@
         self.closed_count += 1
         return Admission.CLOSE if self._max_surplus else Admission.REPLACE
 
+    def gives_way(self, idle_ms: float, idle_timeout_ms: int) -> bool:
+        """Returns whether an idle connection gives way to a new caller.
+
+        Args:
+          idle_ms: How long no request has been in progress on it.
+          idle_timeout_ms: Time limit of an idle connection.
+        """
+        return idle_ms >= idle_timeout_ms * IDLE_SHARE
+
+    def record_giving_way(self) -> None:
+        """Counts an idle connection that has given way."""
+        self.gave_way_count += 1
+
     def record_refusal(self) -> None:
         """Counts a connection whose request was refused."""
         self.refused_count += 1
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -9,9 +9,11 @@
 import asyncio
 import collections
 import contextlib
+import fcntl
 import http
 import socket
 import struct
+import termios
 import typing
 from collections.abc import Callable
 
@@ -51,6 +53,7 @@
 _TCP_INFO_RTT = struct.Struct("I")
 _TCP_INFO_RTT_OFFSET = 68
 _US_PER_MS = 1000
+_INT = struct.Struct("i")
 _INTERNAL_ERROR = http.HTTPStatus.INTERNAL_SERVER_ERROR.value
 
 
@@ -317,6 +320,18 @@
             or self._waits_since is not None
         )
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether anything has been received that is not answered."""
+        if self._requests or self._unparsed or self.has_partial_request:
+            return True
+        if self.transport is None or self.transport.is_closing():
+            return False
+        unread = bytearray(_INT.size)
+        connection = self.transport.get_extra_info("socket")
+        fcntl.ioctl(connection.fileno(), termios.FIONREAD, unread)
+        return any(unread)
+
     async def next_request(
         self, idle_timeout_ms: int, request_timeout_ms: int
     ) -> http1.Request | None:
@@ -503,6 +518,7 @@
         "_channels",
         "_get_limits",
         "_handler",
+        "_idle",
         "_is_draining",
         "_on_error",
         "_surplus",
@@ -530,6 +546,9 @@
         self._acceptor: _listening.Acceptor | None = None
         # Open connections, the oldest first.
         self._channels: dict[_Channel, None] = {}
+        # Those of them whose next request is awaited, the longest idle first,
+        # and since when in seconds of the event loop.
+        self._idle: dict[_Channel, float] = {}
         # Those of them that are beyond the bound.
         self._surplus: set[_Channel] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -617,15 +636,31 @@
         channel.abort()
 
     def _may_serve(self, channel: _Channel) -> bool:
-        """Serves a connection beyond the bound if another has closed."""
+        """Serves a connection beyond the bound if another leaves room."""
         if channel not in self._surplus:
             return True
         served_count = len(self._channels) - len(self._surplus)
-        if served_count >= self._bound.max_served:
+        if served_count >= self._bound.max_served and not self._close_idle():
             return False
         self._surplus.discard(channel)
         return True
 
+    def _close_idle(self) -> bool:
+        """Closes the longest idle connection; returns whether one gave way."""
+        now = asyncio.get_running_loop().time()
+        limits = self._get_limits() or DEFAULT_LIMITS
+        for channel, idle_since in self._idle.items():
+            idle_ms = (now - idle_since) * clocks.MS_PER_S
+            if not self._bound.gives_way(idle_ms, limits.idle_timeout_ms):
+                return False
+            if channel not in self._surplus and not channel.is_receiving:
+                del self._idle[channel]
+                del self._channels[channel]
+                channel.finish(0)
+                self._bound.record_giving_way()
+                return True
+        return False
+
     def _on_accept_error(self, error: OSError) -> None:
         self.accept_failures += 1
 
@@ -639,6 +674,7 @@
             while await self._serve_one(channel):
                 pass
         finally:
+            self._idle.pop(channel, None)
             self._channels.pop(channel, None)
             self._surplus.discard(channel)
             channel.release()
@@ -655,6 +691,7 @@
         if channel in self._surplus:
             idle_timeout_ms = min(idle_timeout_ms, SURPLUS_TIMEOUT_MS)
             request_timeout_ms = min(request_timeout_ms, SURPLUS_TIMEOUT_MS)
+        self._idle[channel] = asyncio.get_running_loop().time()
         try:
             request = await channel.next_request(
                 idle_timeout_ms, request_timeout_ms
@@ -665,6 +702,7 @@
             await channel.drain(limits.idle_timeout_ms)
             await channel.linger()
             return False
+        self._idle.pop(channel, None)
         if request is None:
             return False
         if not self._may_serve(channel):
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -15,6 +15,7 @@
 # of an idle connection.
 LIMITS = serving.CallerLimits(400, 1000, 300, 400)
 GET = b"GET /a HTTP/1.1\r\nhost: h\r\n\r\n"
+SLOW_GET = GET.replace(b"/a", b"/slow")
 
 
 class EchoHandler:
@@ -41,6 +42,14 @@
         return http1.Response(503, [], b"")
 
 
+class SlowHandler(EchoHandler):
+    """Pauses before it answers requests for /slow."""
+
+    async def handle(self, request, disconnected):
+        self.pause_s = 0.6 if request.target == b"/slow" else 0.0
+        return await super().handle(request, disconnected)
+
+
 STARTED_SERVERS: list[links.HttpServer] = []
 WRITERS: list[asyncio.StreamWriter] = []
 
@@ -518,6 +527,45 @@
     run(body())
 
 
+def test_the_longest_idle_connection_gives_way_to_a_new_callers_request():
+    # New callers were refused while connections nobody used were kept.
+    async def body():
+        bound = limits.ConnectionBound(4, 2)
+        server = await start(SlowHandler(), bound=bound)
+        connections = [await connect(server) for _ in range(4)]
+        busy, partial, idle, used = connections
+        for _, writer in (partial, idle, used):
+            writer.write(GET)
+        for reader, _ in (partial, idle, used):
+            assert await read_status(reader) == b"200"
+        await asyncio.sleep(0.15)
+        busy[1].write(SLOW_GET)
+        await asyncio.sleep(0.1)
+        used[1].write(GET)
+        assert await read_status(used[0]) == b"200"
+        partial[1].write(b"GET /a HTTP/1.1\r\n")
+        await asyncio.sleep(0.02)
+        assert (await exchange(server, GET)).startswith(b"HTTP/1.1 200 ")
+        assert await idle[0].read() == b""
+        second = await connect(server)
+        third = await connect(server)
+        await asyncio.sleep(0.02)
+        for _, writer in (second, third):
+            writer.write(GET)
+        # One has the place of the idle one, and none is idle for long enough.
+        assert await read_status(second[0]) == b"200"
+        assert await read_status(third[0]) == b"503"
+        partial[1].write(b"host: h\r\n\r\n")
+        used[1].write(GET)
+        for reader, _ in (partial, used, busy):
+            assert await read_status(reader) == b"200"
+        assert (bound.gave_way_count, bound.refused_count) == (1, 1)
+        for _, writer in (*connections, second, third):
+            writer.close()
+
+    run(body())
+
+
 def test_the_oldest_connection_gives_way_without_surplus_connections():
     # Idle connections to the readiness address must not keep checks out.
     async def body():
