Do not forward a failure as a promise that a request has not run

Cause: a failure of a searcher was forwarded with its status, also 408, 421, 429 and 503, which callers take for a promise; only X-Not-Run says so of a searcher, and such a response is no failure. Fix: the answer is our own 502, which promises nothing, without the searcher's stamp. The test failed before for all four: 'ForwardedAnswer' object has no attribute 'kind'.

--- a/citrondoor/entry/_answers.py
+++ b/citrondoor/entry/_answers.py
@@ -15,6 +15,9 @@
 # delay plus up to as much again. The addition depends on the request id, so
 # that callers do not all retry at the same time.
 MIN_RETRY_AFTER_MS = 250
+# Callers take these for a promise that the request has not run. A searcher that
+# promises it says so in another way, and its response is no failure then.
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 @functools.singledispatch
@@ -74,11 +77,13 @@
     if status == fanout.FanoutStatus.COMPLETE:
         (reply,) = running.replies.values()
         return _messages.ForwardedAnswer(reply.response)
+    failure = running.last_failure
     if (
         status == fanout.FanoutStatus.FAILED
-        and running.last_failure is not None
+        and failure is not None
+        and failure.response.status not in _NOT_RUN_STATUSES
     ):
-        return _messages.ForwardedAnswer(running.last_failure.response)
+        return _messages.ForwardedAnswer(failure.response)
     return _refuse(running, status)
 
 
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -441,6 +441,20 @@
     assert (answer.response.status, answer.response.body) == (500, b"oops")
 
 
+@pytest.mark.parametrize("status", [408, 421, 429, 503])
+def test_a_failure_of_a_run_is_not_forwarded_as_a_promise_that_it_has_not_run(
+    status,
+):
+    def respond(upstream, outbound):
+        return 0.0, failed(status)
+
+    answer = Harness(
+        respond, [NON_IDEMPOTENT_ROUTE], SINGLE_BACKEND_SEARCHERS
+    ).serve(make_request("/p/x"))
+    assert answer.kind == messages.RefusalKind.UPSTREAM_FAILED
+    assert answer.ran == messages.Ran.UNKNOWN
+
+
 def test_unknown_routes_and_missing_configuration_are_told_apart():
     harness = Harness(
         lambda upstream, outbound: (0, None),
