Fewer calls on the path of a response

Whether something is recorded is an attribute, and a header is passed on for the search of a status line only if it may hold one, as before within the search. Behaviour is the same; the tests of both stay as they are.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -604,12 +604,14 @@
         """Checks a part of the reason phrase; called by the parser."""
         self.pieces += 1
         self._reason += reason
-        self._check_is_no_start(self._reason)
+        if _PROTOCOL in self._reason:
+            self._check_is_no_start(self._reason)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Adds a header; called by the parser."""
         self.pieces += 1
-        self._check_is_no_start(value)
+        if _PROTOCOL in value:
+            self._check_is_no_start(value)
         self._headers.append((name.lower(), value))
         self._head_bytes += len(name) + len(value) + _HEADER_SEPARATOR_BYTES
         if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
@@ -670,7 +672,7 @@
         self._has_length = False
 
     def _check_is_no_start(self, text: bytes) -> None:
-        if _PROTOCOL in text and _STATUS_LINE.search(text) is not None:
+        if _STATUS_LINE.search(text) is not None:
             self._reject("a response begins within the head of another one")
 
     def _drop_spliced(self, data: bytes) -> None:
--- a/citrondoor/links/_response_memory.py
+++ b/citrondoor/links/_response_memory.py
@@ -35,9 +35,13 @@
     Args:
       account: Account of the memory that messages keep.
       fail: Closes the connection with an error; called when it gives way.
+
+    Attributes:
+      is_recorded: Whether the account has or had something when `record` was
+        last called.
     """
 
-    __slots__ = ("_holder",)
+    __slots__ = ("_holder", "is_recorded")
 
     def __init__(
         self,
@@ -47,11 +51,7 @@
         self._holder = account.open(
             serving.Sender.SEARCHER, functools.partial(_give_way, fail)
         )
-
-    @property
-    def is_recorded(self) -> bool:
-        """Whether the account has anything of this connection."""
-        return self._holder.kept_bytes > 0
+        self.is_recorded = False
 
     def record(self, reader, unsent_bytes: int, waiting_bytes: int = 0) -> None:
         """Records what is kept now; the connection may give way at once.
@@ -65,6 +65,7 @@
         kept_bytes = partial_bytes + unsent_bytes + waiting_bytes
         if kept_bytes < MIN_RECORDED_BYTES:
             kept_bytes = 0
+        self.is_recorded = kept_bytes > 0
         if kept_bytes or self._holder.kept_bytes:
             self._holder.record(
                 kept_bytes,
