Keep the origin of delegated sends within what a message carries

What callers would see: 500 for every query over shards of other zones, from a daemon that was started while its machine's wall clock was beyond the year 2248. Cause: the origin is the start in Unix ms, shifted by 20 bits, which then needs more than 63. The fake link of the tests now encodes what it carries; the test failed before with the same error. Why it works: only equality and, within one wall clock, the order of origins count, and 43 bits of milliseconds keep both.

--- a/citrondoor/entry/_relay.py
+++ b/citrondoor/entry/_relay.py
@@ -34,6 +34,9 @@
 # Random bits in the origin of a process, besides its incarnation: the time of
 # day, from which incarnations come, may be set back before a restart.
 ORIGIN_RANDOM_BITS = 20
+# Bits of the incarnation in it; messages carry 63 bits and a sign. A machine
+# whose clock was never set may be centuries off.
+ORIGIN_INCARNATION_BITS = 43
 # Memory of a send for a peer, besides the request that its batch shares.
 SERVED_SEND_BYTES = 1024
 
@@ -158,7 +161,8 @@
         self._clock = clock
         self._rng = rng
         self._pool: links.HttpPool | None = None
-        self._origin = incarnation << ORIGIN_RANDOM_BITS | rng.getrandbits(
+        low_bits = incarnation & (1 << ORIGIN_INCARNATION_BITS) - 1
+        self._origin = low_bits << ORIGIN_RANDOM_BITS | rng.getrandbits(
             ORIGIN_RANDOM_BITS
         )
         # For each peer, the delegated sends that have not ended, by token: the
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -2,12 +2,15 @@
 import functools
 import random
 
+import pytest
+
 from citrondoor import clock as clocks
 from citrondoor import entry
 from citrondoor import fanout
 from citrondoor import limits
 from citrondoor import links
 from citrondoor.codecs import http1
+from citrondoor.codecs import peers as codec
 from citrondoor.entry import _relay
 from citrondoor.schema import messages
 from citrondoor.schema import serving
@@ -44,8 +47,9 @@
         if self.messages_to_drop:
             self.messages_to_drop -= 1
             return True
+        received = codec.decode(type(message), codec.encode(message))
         loop = asyncio.get_running_loop()
-        loop.call_soon(self.other.handle, message, self.name)
+        loop.call_soon(self.other.handle, received, self.name)
         return True
 
     def register_notification_handler(self, kind, handler):
@@ -390,6 +394,22 @@
     run(body)
 
 
+@pytest.mark.parametrize("years", [-60, 60, 300, 100_000])
+def test_a_daemon_that_starts_at_any_time_of_day_delegates(years):
+    async def body(pair):
+        days = 365 * years
+        pair.clock = clocks.ManualClock(1000, days * 86_400_000)
+        pair.restart_requester()
+        assert pair.submit()
+        await pair.settle()
+        for upstream_id in list(pair.pool.exchanges):
+            pair.pool.answer(upstream_id, records(5))
+        await pair.settle()
+        assert len(pair.results) == 4
+
+    run(body)
+
+
 def test_a_peer_cancels_what_it_serves_for_a_daemon_that_has_gone():
     # The searchers' slots were still taken when the daemon was back.
     async def body(pair):
