Serve without the log's thread while none can be started

Cause: at its start it depends on one thread, for which a limit of processes or of memory may leave no room at that moment; the last log line needed another one. Evidence, ulimit -s 4000000 -v 3000000: before exit 1, "RuntimeError: can't start new thread"; after it lives. The tests failed before with that error, and with no line after the thread had died of a MemoryError. Why it works: each line tries again, and the thread blocks the signals itself, since it may now start when the main thread has unblocked them.

--- a/citrondoor/entry/_decision_log.py
+++ b/citrondoor/entry/_decision_log.py
@@ -17,6 +17,7 @@
 import orjson
 
 from citrondoor import clock as clocks
+from citrondoor import signals
 
 # Limit for lines about requests, over all events together.
 MAX_LINES_PER_S = 200
@@ -54,6 +55,7 @@
         "_descriptor",
         "_is_closing",
         "_is_line_cut",
+        "_is_started",
         "_limited_second",
         "_queue",
         "_remaining_lines",
@@ -77,6 +79,7 @@
         # Held by the thread that takes lines from the queue and writes them.
         self._writing = threading.Lock()
         self._thread: threading.Thread | None = None
+        self._is_started = False
         self._is_closing = False
         self._is_line_cut = False
         # Second to which the rate limit applies, and lines still allowed in it.
@@ -84,10 +87,27 @@
         self._remaining_lines = MAX_LINES_PER_S
         self.dropped_count = 0
 
+    @property
+    def _is_writing(self) -> bool:
+        return self._thread is not None and self._thread.is_alive()
+
     def start(self) -> None:
-        """Starts the thread that writes the lines."""
-        self._thread = threading.Thread(target=self._write_lines, daemon=True)
-        self._thread.start()
+        """Starts the thread that writes the lines.
+
+        If none can be started now, or the thread ends, each further line tries
+        again.
+        """
+        self._is_started = True
+        self._start_thread()
+
+    def _start_thread(self) -> None:
+        thread = threading.Thread(target=self._write_lines, daemon=True)
+        try:
+            thread.start()
+        except RuntimeError:
+            # The limit of threads or of memory is reached.
+            return
+        self._thread = thread
 
     def close(self, timeout_s: float = 0.2) -> None:
         """Writes the queued lines, waiting at most `timeout_s` for that.
@@ -121,6 +141,8 @@
             return
         line = {"at": self._clock.unix_ms(), "vm": self._vm, "event": event}
         self._queue.append(_encode(line | fields) + b"\n")
+        if self._is_started and not self._is_closing and not self._is_writing:
+            self._start_thread()
         self._wakeup.set()
 
     def write_rate_limited(self, event: str, **fields) -> None:
@@ -136,6 +158,8 @@
         self.write(event, **fields)
 
     def _write_lines(self) -> None:
+        # One that starts late would inherit that signals are not blocked.
+        signals.block()
         while True:
             self._wakeup.wait()
             if not self._is_closing:
--- a/tests/entry/test_decision_log.py
+++ b/tests/entry/test_decision_log.py
@@ -96,6 +96,37 @@
     assert log.dropped_count == 1
 
 
+def test_a_log_without_a_thread_ends_nothing_and_writes_once_it_has_one(
+    pipe, monkeypatch
+):
+    def fail(thread):
+        raise RuntimeError("can't start new thread")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(threading.Thread, "start", fail)
+        log = make_log(pipe[1])
+        log.write("started")
+    log.write("summary")
+    log.close(timeout_s=5.0)
+    lines = read_lines(pipe[0])
+    assert [line["event"] for line in lines] == ["started", "summary"]
+
+
+def test_the_log_goes_on_after_its_thread_has_died(pipe, monkeypatch):
+    def fail(descriptor, data):
+        raise MemoryError
+
+    monkeypatch.setattr(threading, "excepthook", lambda arguments: None)
+    log = make_log(pipe[1])
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", fail)
+        log.write("started")
+        log._thread.join(5.0)
+    log.write("summary")
+    log.close(timeout_s=5.0)
+    assert [line["event"] for line in read_lines(pipe[0])] == ["summary"]
+
+
 def test_a_full_pipe_holds_up_neither_writers_nor_the_end(pipe):
     fill(pipe[1])
     os.set_blocking(pipe[1], True)
