Bound the bytes of log lines that wait to be written

Cause: the log's queue was bounded in lines only, is on no account, and a line names a path as long as a head may be. The test failed before with 'assert < 8000000'. Why it works: what is queued or being written counts, and lines beyond 2 MB are dropped and counted as those beyond 4096 are.

--- a/citrondoor/entry/_decision_log.py
+++ b/citrondoor/entry/_decision_log.py
@@ -23,6 +23,9 @@
 MAX_LINES_PER_S = 200
 # Lines queued while the reader of standard output is slow.
 MAX_QUEUED_LINES = 4096
+# Bytes of these lines, those that are being written included: a line may name a
+# path as long as a head may be.
+MAX_QUEUED_BYTES = 2_097_152
 # The thread waits this long before it writes, so that one write covers several
 # lines: waking the thread costs more than writing a line.
 BATCH_DELAY_S = 0.05
@@ -58,11 +61,13 @@
         "_is_started",
         "_limited_second",
         "_queue",
+        "_queued_bytes",
         "_remaining_lines",
         "_thread",
         "_vm",
         "_wakeup",
         "_writing",
+        "_written_bytes",
         "dropped_count",
     )
 
@@ -75,6 +80,9 @@
             _standard_output() if descriptor is None else descriptor
         )
         self._queue: collections.deque[bytes] = collections.deque()
+        # Since the start; the second is changed while `_writing` is held.
+        self._queued_bytes = 0
+        self._written_bytes = 0
         self._wakeup = threading.Event()
         # Held by the thread that takes lines from the queue and writes them.
         self._writing = threading.Lock()
@@ -129,7 +137,7 @@
     def write(self, event: str, **fields) -> None:
         """Queues a line about a change of state, without a rate limit.
 
-        The line is dropped only if the queue is full.
+        The line is dropped only if too many lines or bytes are queued.
 
         Args:
           event: Name of the event.
@@ -140,7 +148,13 @@
             self.dropped_count += 1
             return
         line = {"at": self._clock.unix_ms(), "vm": self._vm, "event": event}
-        self._queue.append(_encode(line | fields) + b"\n")
+        data = _encode(line | fields) + b"\n"
+        kept_bytes = self._queued_bytes - self._written_bytes
+        if kept_bytes + len(data) > MAX_QUEUED_BYTES:
+            self.dropped_count += 1
+            return
+        self._queued_bytes += len(data)
+        self._queue.append(data)
         if self._is_started and not self._is_closing and not self._is_writing:
             self._start_thread()
         self._wakeup.set()
@@ -174,8 +188,12 @@
         lines = []
         while self._queue:
             lines.append(self._queue.popleft())
-        if not self._write_out(b"".join(lines), ends_at):
-            self.dropped_count += len(lines)
+        data = b"".join(lines)
+        try:
+            if not self._write_out(data, ends_at):
+                self.dropped_count += len(lines)
+        finally:
+            self._written_bytes += len(data)
 
     def _write_out(self, data: bytes, ends_at: int | None) -> bool:
         """Writes lines; returns whether all of them were written.
--- a/tests/entry/test_decision_log.py
+++ b/tests/entry/test_decision_log.py
@@ -2,6 +2,7 @@
 import os
 import sys
 import threading
+import tracemalloc
 
 import orjson
 import pytest
@@ -141,6 +142,26 @@
     assert not log._thread.is_alive()
 
 
+def test_long_lines_that_nobody_reads_keep_bounded_memory(pipe):
+    log = make_log(pipe[1])
+    tracemalloc.start()
+    for _ in range(_decision_log.MAX_QUEUED_LINES):
+        log.write("request_refused", detail="x" * 16_000)
+    kept_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert kept_bytes < 8_000_000
+    assert log.dropped_count > 0
+
+
+def test_lines_are_not_dropped_for_the_bytes_written_before(pipe):
+    log = make_log(pipe[1])
+    for _ in range(10):
+        log.write("summary", detail="x" * 500_000)
+        while not os.read(pipe[0], 65536).endswith(b"\n"):
+            pass
+    assert log.dropped_count == 0
+
+
 def test_a_line_that_was_cut_off_is_ended_before_the_next(pipe):
     fill(pipe[1])
     os.read(pipe[0], 4096)
