Give each step of a shutdown a time limit

citrondoord waited for ever for requests, runs, counts and links that did not end; the platform would kill it, and the steps after, such as handing on the counts, were lost. The entry daemon did so for the links to peers. The new tests fail before: 'timed out after 6.0 seconds' for each of four steps of citrondoord, 'TimeoutError' for the links of the entry daemon.

Both now run such steps through one function, which cancels a step at its limit, logs `shutdown_step_cut`, and goes on. Requests and runs have the latest deadline that a caller may name, and each step 5 s. The steps of the entry daemon that wait for requests had limits already; its links get half of what is left of grace_s.

--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -23,6 +23,7 @@
 from citrondoor import timeline
 from citrondoor.daemon import _counters
 from citrondoor.daemon import _lifecycle
+from citrondoor.daemon import _shutdown_step
 from citrondoor.daemon import _supervisor
 from citrondoor.daemon import endings
 from citrondoor.schema import messages
@@ -44,6 +45,9 @@
 DISCOVERY_TIMEOUT_MS = 2000
 # The cluster counts as serving if a peer started this long before this daemon.
 MIN_CLUSTER_AGE_MS = 5000
+# Time limit of each step of a shutdown, and what the steps that wait for
+# callers' requests have beyond the latest deadline of one.
+STEP_LIMIT_MS = 5000
 
 
 class Daemon:
@@ -437,16 +441,23 @@
         ttl_ms = self._settings.callers.entries_ttl_ms
         await self._wait_until_second_signal(ttl_ms)
         self._admission.state = engine.AdmissionState.LEAVING
-        await self._wait_for_requests()
-        await self._run_engine.drain()
-        await self._count_replicator.push_to_peers()
-        await self._api_server.close()
+        ends_at = self._clock.now() + self._settings.callers.max_deadline_ms
+        await self._finish("requests", self._wait_for_requests(), ends_at)
+        await self._finish("runs", self._run_engine.drain(), ends_at)
+        await self._finish("counts", self._count_replicator.push_to_peers())
+        await self._finish("api", self._api_server.close())
         self._parts.cancel()
         self._pool.close()
-        await self._peering.close()
-        await self._platform.close()
+        await self._finish("peers", self._peering.close())
+        await self._finish("platform", self._platform.close())
         self._lifecycle.stop()
 
+    async def _finish(self, name: str, step, ends_at: int = 0) -> None:
+        remaining_ms = max(0, ends_at - self._clock.now())
+        await _shutdown_step.run(
+            name, remaining_ms + STEP_LIMIT_MS, step, self._log.warning
+        )
+
     async def _wait_until_second_signal(self, timeout_ms: int) -> None:
         ends_at = self._clock.now() + timeout_ms
         while self._clock.now() < ends_at and self._stop_signal_count < 2:
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -26,6 +26,7 @@
 from citrondoor.daemon import _loop_watch
 from citrondoor.daemon import _settings
 from citrondoor.daemon import _settings_watch
+from citrondoor.daemon import _shutdown_step
 from citrondoor.daemon import _supervisor
 from citrondoor.daemon import endings
 from citrondoor.schema import messages
@@ -479,7 +480,11 @@
         await self._caller_server.close(max(0, int(remaining_ms)))
         self._parts.cancel()
         self._pool.close()
-        await self._peers.close()
+        elapsed_s = asyncio.get_running_loop().time() - started_at
+        remaining_ms = (grace_s - elapsed_s) * clocks.MS_PER_S / 2
+        await _shutdown_step.run(
+            "peers", int(remaining_ms), self._peers.close(), self._log.write
+        )
         self._lifecycle.stop()
         self._log.write(
             "stopped",
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -3,6 +3,7 @@
 import sys
 import time
 
+import orjson
 import pytest
 
 from tests.daemon import test_settings
@@ -12,16 +13,68 @@
 TIMEOUT_S = 15.0
 
 
-@pytest.mark.parametrize("delay_s", [0.0, 0.2, 0.6])
-def test_no_signal_during_the_start_ends_citrondoord(tmp_path, delay_s):
+def write_settings(folder):
     http_port, peer_port = deployment.free_ports(2)
-    path = tmp_path / "s.yaml"
+    path = folder / "s.yaml"
     path.write_text(
         test_settings.VALID_SETTINGS.replace("8000", str(http_port)).replace(
             "8001", str(peer_port)
         )
-        + "callers: {entries_ttl_ms: 100}\n"
+        + "callers: {entries_ttl_ms: 100, max_deadline_ms: 10}\n"
     )
+    return path
+
+
+@pytest.mark.parametrize(
+    "step",
+    [
+        "engine.RunEngine.drain",
+        "engine.CountReplicator.push_to_peers",
+        "front.ApiServer.close",
+        "engine.Peering.close",
+    ],
+)
+def test_a_step_that_never_ends_does_not_hold_up_the_shutdown(tmp_path, step):
+    # It waited for ever, until the platform killed it.
+    program = f"""
+import asyncio
+from citrondoor import engine
+from citrondoor import front
+from citrondoor.daemon import _assembly
+from citrondoor.daemon import main
+
+async def never_end(self):
+    await asyncio.Event().wait()
+
+{step} = never_end
+_assembly.STEP_LIMIT_MS = 300
+main.main()
+"""
+    path = write_settings(tmp_path)
+    with subprocess.Popen(
+        [sys.executable, "-c", program, "--settings", path],
+        stderr=subprocess.PIPE,
+    ) as process:
+        while not test_signals.is_safe(process.pid):
+            time.sleep(0.001)
+        process.send_signal(signal.SIGTERM)
+        try:
+            _, log = process.communicate(timeout=6.0)
+        finally:
+            process.kill()
+    assert process.returncode == 0
+    *_, cut, last = [
+        record
+        for record in map(orjson.loads, log.splitlines())
+        if record["event"] in ("shutdown_step_cut", "ended")
+    ]
+    assert cut["event"] == "shutdown_step_cut"
+    assert (last["event"], last["reason"]) == ("ended", "signal")
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.2, 0.6])
+def test_no_signal_during_the_start_ends_citrondoord(tmp_path, delay_s):
+    path = write_settings(tmp_path)
     process = subprocess.Popen(
         [sys.executable, "-m", "citrondoor.daemon.main", "--settings", path],
         stdout=subprocess.DEVNULL,
--- a/tests/platform/test_endings.py
+++ b/tests/platform/test_endings.py
@@ -118,6 +118,30 @@
     assert record["part"] == "leaving"
 
 
+def test_links_that_never_close_do_not_hold_up_the_shutdown(tmp_path):
+    async def body():
+        failures = [
+            "async def never_end(self): await __import__('asyncio').sleep(60)",
+            "_peer_network.PeerNetwork.close = never_end",
+        ]
+        daemon = await start(tmp_path, failures)
+        while not test_signals.is_safe(daemon.process.pid):
+            await asyncio.sleep(0.001)
+        daemon.process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(4.0):
+                code = await daemon.process.wait()
+        finally:
+            if daemon.process.returncode is None:
+                daemon.process.kill()
+        return code, daemon.log_records()
+
+    code, records = asyncio.run(body())
+    assert code == 0
+    assert "shutdown_step_cut" in [record["event"] for record in records]
+    assert records[-1]["event"] == "stopped"
+
+
 def test_parts_that_always_fail_do_not_end_the_daemon(tmp_path):
     # FAULT: 20 failures of a part, within 2.5 s, ended the daemon with code 0.
     failures = [
