citrondoord: take over from a predecessor with a later incarnation

A daemon whose time of day was set back after its predecessor had started has a lower incarnation than peers know. It ended with code 3 while it joined; the platform started it again, and it ended again, until its clock was past the other's: "assert (3, 'invariant') == (0, 'signal')" in the new test, with an incarnation 60 s ahead.

While it joins it now raises its incarnation, as the entry daemon does. It has issued no session and granted no lease by then, and waits as before for the leases of its predecessor. Once it serves, a later incarnation is still an end: two daemons of one name would both use the shares of one.

--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -419,12 +419,25 @@
             self._pool.sweep(now)
             self._rate_limiters.refill(now)
             if self._view.members.is_superseded:
-                raise errors.InvariantError(
-                    f"a later incarnation of {self._settings.vm!r} is running;"
-                    " give each VM a unique name"
-                )
+                self._on_superseded()
             await asyncio.sleep(TICK_MS / clocks.MS_PER_S)
 
+    def _on_superseded(self) -> None:
+        """Takes over from a predecessor; ends if a later start took over.
+
+        Peers may name a later incarnation while this daemon joins, because the
+        time of day was set back after its predecessor had started. The next
+        process would meet the same.
+        """
+        if self._lifecycle.state == "joining":
+            self._log.warning("incarnation_raised", vm_name=self._settings.vm)
+            self._view.members.raise_incarnation()
+            return
+        raise errors.InvariantError(
+            f"a later incarnation of {self._settings.vm!r} is running;"
+            " give each VM a unique name"
+        )
+
     async def _leave(self) -> None:
         """Shuts down after requests have ended and their counts are copied.
 
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -25,6 +25,23 @@
     return path
 
 
+def run_until_stopped(program, path, delay_s=0.0):
+    """Returns the code and the log of a daemon that gets SIGTERM."""
+    with subprocess.Popen(
+        [sys.executable, "-c", program, "--settings", path],
+        stderr=subprocess.PIPE,
+    ) as process:
+        while process.poll() is None and not test_signals.is_safe(process.pid):
+            time.sleep(0.001)
+        time.sleep(delay_s)
+        process.send_signal(signal.SIGTERM)
+        try:
+            _, log = process.communicate(timeout=6.0)
+        finally:
+            process.kill()
+    return process.returncode, [orjson.loads(n) for n in log.splitlines()]
+
+
 @pytest.mark.parametrize(
     "step",
     [
@@ -50,28 +67,43 @@
 _assembly.STEP_LIMIT_MS = 300
 main.main()
 """
-    path = write_settings(tmp_path)
-    with subprocess.Popen(
-        [sys.executable, "-c", program, "--settings", path],
-        stderr=subprocess.PIPE,
-    ) as process:
-        while not test_signals.is_safe(process.pid):
-            time.sleep(0.001)
-        process.send_signal(signal.SIGTERM)
-        try:
-            _, log = process.communicate(timeout=6.0)
-        finally:
-            process.kill()
-    assert process.returncode == 0
+    code, records = run_until_stopped(program, write_settings(tmp_path))
+    assert code == 0
     *_, cut, last = [
         record
-        for record in map(orjson.loads, log.splitlines())
+        for record in records
         if record["event"] in ("shutdown_step_cut", "ended")
     ]
     assert cut["event"] == "shutdown_step_cut"
     assert (last["event"], last["reason"]) == ("ended", "signal")
 
 
+def test_a_daemon_whose_clock_was_set_back_takes_over_from_its_predecessor(
+    tmp_path,
+):
+    # FAULT: it ended again and again until its clock was past the other's.
+    program = """
+from citrondoor import membership
+from citrondoor.daemon import main
+from citrondoor.schema import messages
+
+class Members(membership.Members):
+    def __init__(self, vm, incarnation, *rest):
+        super().__init__(vm, incarnation, *rest)
+        state = messages.MemberState.ALIVE
+        self._merge_own_record(
+            messages.Member(vm, incarnation + 60_000, 0, state, 0)
+        )
+
+membership.Members = Members
+main.main()
+"""
+    code, records = run_until_stopped(program, write_settings(tmp_path), 2.0)
+    events = [record["event"] for record in records]
+    assert (code, records[-1]["reason"]) == (0, "signal")
+    assert events.count("incarnation_raised") == 1
+
+
 @pytest.mark.parametrize("delay_s", [0.0, 0.2, 0.6])
 def test_no_signal_during_the_start_ends_citrondoord(tmp_path, delay_s):
     path = write_settings(tmp_path)
