citrondoord: give callers a share of the descriptors

Callers could take each descriptor of citrondoord, and searchers, peers and the platform got none: with 128 descriptors 200 idle callers took all of them ('assert 128 < 110' in the new test).

It raises its limit and divides it by the same DescriptorShares as the entry daemon.

Idle connections do not give way here, and asyncio accepts up to the whole backlog in a row before a connection is counted.

--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -22,6 +22,7 @@
 from citrondoor import telemetry
 from citrondoor import timeline
 from citrondoor.daemon import _counters
+from citrondoor.daemon import _descriptors
 from citrondoor.daemon import _lifecycle
 from citrondoor.daemon import _shutdown_step
 from citrondoor.daemon import _supervisor
@@ -296,6 +297,8 @@
     def _build_api_server(self) -> None:
         settings = self._settings
         metrics = telemetry.Metrics(settings.vm, settings.zone)
+        shares = limits.DescriptorShares(_descriptors.raise_limit(), 0)
+        bound = shares.bounds()["front"]
         counters = _counters.collect(
             self._search_engine,
             self._run_engine,
@@ -306,6 +309,7 @@
             self._configuration_synchronizer,
             self._warmup,
             self._admission,
+            bound,
         )
         for counter in counters:
             add_metric = (
@@ -331,7 +335,10 @@
             settings.operator_key_digest,
         )
         self._api_server = front.ApiServer(
-            front.make_app(handlers), settings.callers
+            front.make_app(handlers),
+            settings.callers,
+            bound,
+            front.turn_away,
         )
 
     def _on_cold(self) -> None:
--- a/citrondoor/daemon/_counters.py
+++ b/citrondoor/daemon/_counters.py
@@ -42,6 +42,7 @@
     synchronizer: engine.ConfigurationSynchronizer,
     warmup: limits.WarmupLimiter,
     admission: engine.Admission,
+    bound: limits.ConnectionBound,
 ) -> list[Counter]:
     """Returns all counters and gauges of a daemon."""
     queries = search_engine.counters
@@ -156,6 +157,16 @@
             lambda: synchronizer.store.pending_count,
             is_gauge=True,
         ),
+        Counter(
+            "connections.refused",
+            "Connections whose request was refused for want of descriptors.",
+            lambda: bound.refused_count,
+        ),
+        Counter(
+            "connections.closed",
+            "Connections closed for want of descriptors.",
+            lambda: bound.closed_count,
+        ),
         Counter(
             "requests.in_flight",
             "Requests being served.",
--- a/citrondoor/front/_app.py
+++ b/citrondoor/front/_app.py
@@ -242,6 +242,13 @@
     )
 
 
+async def turn_away(scope, receive, send) -> None:
+    """ASGI application of connections for which there is no room."""
+    response = _refusal_response(refusals.too_many_connections())
+    response.headers["connection"] = "close"
+    await response(scope, receive, send)
+
+
 async def _cancel_on_disconnect(request: requests.Request, work):
     """Awaits a coroutine and cancels it if the caller disconnects.
 
--- a/citrondoor/front/_server.py
+++ b/citrondoor/front/_server.py
@@ -13,6 +13,7 @@
 from uvicorn.protocols.http import httptools_impl
 
 from citrondoor import clock as clocks
+from citrondoor import limits
 from citrondoor.codecs import http1
 from citrondoor.schema import settings as schema_settings
 
@@ -29,11 +30,49 @@
 SHUTDOWN_TIMEOUT_S = 60
 
 
+class _Gate:
+    """Admits connections, and counts those that are open.
+
+    Args:
+      bound: Bounds them; None for no bound.
+      turn_away: ASGI application that refuses the requests of those beyond.
+    """
+
+    __slots__ = ("_bound", "_counts", "_turn_away")
+
+    def __init__(self, bound: limits.ConnectionBound | None, turn_away):
+        self._bound = bound
+        self._turn_away = turn_away
+        self._counts = dict.fromkeys(limits.Admission, 0)
+
+    def admit(self) -> limits.Admission:
+        """Decides on a new connection, which counts as open from now on."""
+        admission = limits.Admission.SERVE
+        if self._bound is not None:
+            admission = self._bound.admit(
+                self._counts[limits.Admission.SERVE],
+                self._counts[limits.Admission.REFUSE],
+            )
+        self._counts[admission] += 1
+        return admission
+
+    def release(self, admission: limits.Admission) -> None:
+        """Records that a connection has closed."""
+        self._counts[admission] -= 1
+
+    async def refuse(self, scope, receive, send) -> None:
+        """Refuses a request of a connection beyond the bound."""
+        self._bound.record_refusal()
+        await self._turn_away(scope, receive, send)
+
+
 def make_protocol_class(
-    header_timeout_ms: int, on_header_timeout, on_oversized
+    header_timeout_ms: int, on_header_timeout, on_oversized, gate: _Gate
 ) -> type:
     """Returns a uvicorn protocol class that limits heads in time and size.
 
+    It also keeps to the bound of connections.
+
     The timer starts when the connection opens, restarts at the first byte of
     each request and stops when the request's head is complete.
 
@@ -43,20 +82,27 @@
         closed because of the timeout.
       on_oversized: Called without arguments for each connection that is closed
         because of `MAX_HEAD_BYTES`.
+      gate: Admits connections.
     """
     timeout_s = header_timeout_ms / clocks.MS_PER_S
 
     class HeaderTimeoutProtocol(httptools_impl.HttpToolsProtocol):
-        __slots__ = ("_header_timer", "_meter")
+        __slots__ = ("_admission", "_header_timer", "_meter")
 
         def connection_made(self, transport) -> None:
             super().connection_made(transport)
+            self._admission = gate.admit()
+            if self._admission is limits.Admission.REFUSE:
+                self.app = gate.refuse
+            elif self._admission is not limits.Admission.SERVE:
+                transport.abort()
             self._meter = http1.FramingMeter(MAX_HEAD_BYTES)
             self._header_timer = self.loop.call_later(
                 timeout_s, self._abort_connection
             )
 
         def connection_lost(self, exc) -> None:
+            gate.release(self._admission)
             self._header_timer.cancel()
             super().connection_lost(exc)
 
@@ -111,6 +157,9 @@
     Args:
       app: The ASGI application.
       settings: Timeouts and limits for callers' requests.
+      bound: Bounds the open connections; None for no bound.
+      turn_away: ASGI application that refuses the requests of connections
+        beyond the bound.
 
     Attributes:
       header_timeout_count: Connections closed because a request head did not
@@ -124,6 +173,8 @@
         self,
         app,
         settings: schema_settings.CallerSettings,
+        bound: limits.ConnectionBound | None = None,
+        turn_away=None,
     ):
         self.header_timeout_count = 0
         self.oversized_count = 0
@@ -136,6 +187,7 @@
                 settings.header_timeout_ms,
                 self._on_header_timeout,
                 self._on_oversized,
+                _Gate(bound, turn_away),
             ),
             ws="none",
             lifespan="off",
--- a/tests/daemon/test_main.py
+++ b/tests/daemon/test_main.py
@@ -1,4 +1,7 @@
+import contextlib
+import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -104,6 +107,35 @@
     assert events.count("incarnation_raised") == 1
 
 
+def test_callers_without_end_leave_descriptors_for_others(tmp_path):
+    # FAULT: callers could take each descriptor that others need.
+    path = write_settings(tmp_path)
+    port = int(path.read_text().partition("http_port: ")[2].split()[0])
+    command = [sys.executable, "-m", "citrondoor.daemon.main"]
+    with contextlib.ExitStack() as stack:
+        process = subprocess.Popen(
+            ["sh", "-c", 'ulimit -n 128; exec "$@"', "sh", *command]
+            + ["--settings", path],
+            stderr=subprocess.DEVNULL,
+        )
+        stack.callback(process.wait)
+        stack.callback(process.kill)
+        descriptors = pathlib.Path(f"/proc/{process.pid}/fd")
+        callers = []
+        ends_at = time.monotonic() + TIMEOUT_S
+        while len(callers) < 200 and time.monotonic() < ends_at:
+            try:
+                caller = socket.create_connection((deployment.HOST, port))
+            except ConnectionRefusedError:
+                time.sleep(0.01)
+                continue
+            callers.append(stack.enter_context(caller))
+            time.sleep(0.001)
+        time.sleep(0.3)
+        assert len(callers) == 200
+        assert len(list(descriptors.iterdir())) < 110
+
+
 @pytest.mark.parametrize("delay_s", [0.0, 0.2, 0.6])
 def test_no_signal_during_the_start_ends_citrondoord(tmp_path, delay_s):
     path = write_settings(tmp_path)
--- a/tests/front/test_app.py
+++ b/tests/front/test_app.py
@@ -8,6 +8,7 @@
 import pytest
 
 from citrondoor import front
+from citrondoor import limits
 from citrondoor import links
 from citrondoor import telemetry
 from citrondoor.schema import settings as schema_settings
@@ -23,7 +24,7 @@
 class ServedApi:
     """An API server on a TCP port, for a daemon of an in-process cluster."""
 
-    def __init__(self, settings=SETTINGS):
+    def __init__(self, settings=SETTINGS, bound=None):
         self.cluster = fakes.FakeCluster()
         daemon = self.cluster.daemons["vm-0"]
         status = front.StatusReporter(
@@ -37,7 +38,9 @@
             settings,
             hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
         )
-        self.server = front.ApiServer(front.make_app(handlers), settings)
+        self.server = front.ApiServer(
+            front.make_app(handlers), settings, bound, front.turn_away
+        )
         self.port = 0
 
     async def start(self):
@@ -69,9 +72,9 @@
     return orjson.dumps({**content, **changes})
 
 
-def run_scenario(scenario, settings=SETTINGS):
+def run_scenario(scenario, settings=SETTINGS, bound=None):
     async def run_with_server():
-        api = ServedApi(settings)
+        api = ServedApi(settings, bound)
         await api.start()
         try:
             await scenario(api)
@@ -211,3 +214,35 @@
             max_body_bytes=2000, header_timeout_ms=5000, body_timeout_ms=5000
         ),
     )
+
+
+def test_connections_beyond_the_bound_are_refused_and_then_closed():
+    # FAULT: callers could take each descriptor that others need.
+    bound = limits.ConnectionBound(1, 1)
+
+    async def scenario(api):
+        first = await asyncio.open_connection("127.0.0.1", api.port)
+        second = await asyncio.open_connection("127.0.0.1", api.port)
+        third = await asyncio.open_connection("127.0.0.1", api.port)
+        data = make_post("/v1/search", search_body())
+        received = []
+        for reader, writer in (third, second, first):
+            writer.write(data)
+            try:
+                received.append(await reader.read())
+            except ConnectionResetError:
+                received.append(b"")
+            writer.close()
+        closed, refused, served = received
+        assert closed == b""
+        assert refused.startswith(b"HTTP/1.1 503 ")
+        assert b"connection: close" in refused
+        body = orjson.loads(refused.partition(b"\r\n\r\n")[2])
+        assert (body["refused"], body["ran"]) == ("overloaded", "no")
+        assert served.startswith(b"HTTP/1.1 200 ")
+        assert (bound.refused_count, bound.closed_count) == (1, 1)
+        await asyncio.sleep(0.05)
+        assert (await api.exchange(data))[0] == 200
+
+    settings = schema_settings.CallerSettings(max_body_bytes=2000)
+    run_scenario(scenario, settings, bound)
