Give peers a share of the descriptors, and bound the links of one peer

Callers would see a daemon that serves an old view and then none.

Cause: DescriptorShares knew callers and the side addresses only; links of peers took what was left, without a bound in number, in both directions.

Evidence: test_links_of_peers_without_end_leave_descriptors_for_all_others, a real daemon with 256 descriptors and 300 links that speak.

Why it works: the decision that divides the descriptors gives links from and to peers half of what callers and side addresses leave (34 of 512, 841 of 8,192). A process of a peer has two links, as a daemon that looks for a lost member dials it beside its own link; the oldest of three reads no more, answers what is in progress and is closed, after 2 s at the latest. A daemon dials at most half of its bound, also at its start, where it dialled each seed. When the newest link of a peer closes, notifications use the one before; until now the peer was reported as gone.

--- a/citrondoor/daemon/_entry_metrics.py
+++ b/citrondoor/daemon/_entry_metrics.py
@@ -61,7 +61,7 @@
         pool: links.HttpPool,
         relay: entry.Relay,
         account: limits.MemoryAccount,
-        bounds: dict[str, limits.ConnectionBound],
+        bounds: dict[str, limits.ConnectionBound | limits.LinkBound],
         listeners: links.Listeners,
         loop_watch: _loop_watch.LoopWatch,
         turns: links.ReadTurns,
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -243,6 +243,7 @@
             self._clock,
             self._log,
             self._account,
+            link_bound=self._bounds["peers"],
         )
         self._store = self._adapter.make_store_client(
             settings.store, self._on_unreadable, self._account
@@ -373,6 +374,7 @@
             authenticated_peers=bool(settings.peer_key),
             descriptors=self._descriptors.limit,
             caller_connections=self._bounds["front"].max_served,
+            peer_links=self._bounds["peers"].max_served,
         )
         self._handle_signals()
         self._lifecycle.join()
--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -9,6 +9,7 @@
 import functools
 import itertools
 import socket
+import sys
 from collections.abc import Callable
 
 from citrondoor import addresses
@@ -18,6 +19,7 @@
 from citrondoor import limits
 from citrondoor import links
 from citrondoor import membership
+from citrondoor import rendezvous
 from citrondoor.codecs import envelopes
 from citrondoor.entry import _decision_log
 from citrondoor.entry import _view
@@ -77,6 +79,7 @@
       log: Log of decisions.
       account: Where the memory of peers' messages is recorded.
       connector: Opens a connection; tests replace it to simulate lost links.
+      link_bound: Bounds the links from and to peers.
     """
 
     __slots__ = (
@@ -87,6 +90,7 @@
         "_heartbeat_numbers",
         "_is_settled",
         "_last_alive_at",
+        "_link_bound",
         "_link_down_listeners",
         "_link_settings",
         "_linked_version",
@@ -121,7 +125,9 @@
         log: _decision_log.DecisionLog,
         account: limits.MemoryAccount | None = None,
         connector: links.Connector = links.open_connection,
+        link_bound: limits.LinkBound | None = None,
     ):
+        self._link_bound = link_bound or limits.LinkBound(sys.maxsize)
         self._settings = settings
         self._connector = connector
         self._rejoin_schedule = membership.RejoinSchedule(settings.vm)
@@ -156,6 +162,9 @@
             self._on_protocol_error,
             self._on_notification,
             self._on_disconnect,
+            self._link_bound,
+            self._is_live_member,
+            lambda: len(self._links),
         )
         self._notification_handlers = functools.singledispatch(
             self._ignore_notification
@@ -478,6 +487,7 @@
             else self._choose_peers(known)
         )
         peers = [name for name in peers if name != self._settings.vm]
+        del peers[self._link_bound.max_dialled :]
         for name in peers:
             endpoint = self._members.endpoint_of(name)
             self._open_link(name, name, endpoint.host, endpoint.peer_port)
@@ -503,8 +513,16 @@
         )
         return [*neighbours, *cross_zone]
 
+    def _is_live_member(self, name: str) -> bool:
+        return self._members.state_of(name) in (
+            messages.MemberState.ALIVE,
+            messages.MemberState.SUSPECT,
+        )
+
     def _connect_to_seeds(self) -> None:
-        for seed in self._seeds:
+        # Each daemon prefers others, so that they find each other.
+        ranking = rendezvous.rank(f"seed/{self._settings.vm}", self._seeds)
+        for seed in ranking[: self._link_bound.max_dialled]:
             address = addresses.split_address(seed)
             if address != self._own_address:
                 self._open_link(f"{_SEED_PREFIX}{seed}", "", *address)
--- a/citrondoor/limits/__init__.py
+++ b/citrondoor/limits/__init__.py
@@ -5,6 +5,8 @@
 from citrondoor.limits._descriptors import Admission
 from citrondoor.limits._descriptors import ConnectionBound
 from citrondoor.limits._descriptors import DescriptorShares
+from citrondoor.limits._descriptors import LinkBound
+from citrondoor.limits._descriptors import LinkUse
 from citrondoor.limits._leases import Borrower
 from citrondoor.limits._leases import Lender
 from citrondoor.limits._memory_account import BYTES_PER_MB
@@ -36,6 +38,8 @@
     "DescriptorShares",
     "Holder",
     "Lender",
+    "LinkBound",
+    "LinkUse",
     "MemoryAccount",
     "MessageEffort",
     "OfferResult",
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -9,11 +9,13 @@
 """
 
 import asyncio
+import contextlib
 import hashlib
 import hmac
 import itertools
 import secrets
 import socket
+import sys
 from collections.abc import Awaitable
 from collections.abc import Callable
 
@@ -39,6 +41,9 @@
 MAX_SILENCE_S = 30.0
 # Connections whose handshake is not complete; with more, the oldest is closed.
 MAX_HANDSHAKES = 128
+# A link whose place a newer one has taken is closed after this long at the
+# latest; until then its requests in progress are answered.
+REPLACED_GRACE_S = 2.0
 # Requests of one link that are handled at the same time; further ones are not
 # read until one of them has ended.
 MAX_REQUESTS_IN_PROGRESS = 256
@@ -106,6 +111,8 @@
         its total.
       bytes_received: Likewise for received frames, but without their length
         and MAC.
+      is_replaced: Whether no further message is read, as a newer link has
+        taken the place of this one.
     """
 
     __slots__ = (
@@ -116,9 +123,11 @@
         "_reader",
         "_receive_authenticator",
         "_send_authenticator",
+        "_silence_limit",
         "bytes_received",
         "bytes_sent",
         "hello",
+        "is_replaced",
         "writer",
     )
 
@@ -142,8 +151,10 @@
         )
         self._partial_bytes = 0
         self._in_progress_bytes = 0
+        self._silence_limit: asyncio.Timeout | None = None
         self.bytes_sent = 0
         self.bytes_received = 0
+        self.is_replaced = False
 
     def send(self, envelope: messages.Envelope) -> None:
         """Buffers a message for sending; does not wait for a slow peer.
@@ -178,6 +189,38 @@
             payload = codec.decompress(payload, self._max_frame_bytes)
         return codec.decode(messages.Envelope, payload)
 
+    async def receive_next(self) -> messages.Envelope | None:
+        """Waits for the next message; returns None if the link is replaced.
+
+        Raises:
+          TimeoutError: The peer sent no message within `MAX_SILENCE_S`.
+        """
+        if self.is_replaced:
+            return None
+        try:
+            async with asyncio.timeout(MAX_SILENCE_S) as self._silence_limit:
+                return await self.receive()
+        except TimeoutError:
+            if not self.is_replaced:
+                raise
+            return None
+        finally:
+            self._silence_limit = None
+
+    def replace(self) -> None:
+        """Reads no further message; a newer link has taken the place."""
+        self.is_replaced = True
+        loop = asyncio.get_running_loop()
+        if self._silence_limit is not None:
+            self._silence_limit.reschedule(loop.time())
+        loop.call_later(REPLACED_GRACE_S, self.writer.transport.abort)
+
+    async def flush(self) -> None:
+        """Sends what is buffered and closes the connection."""
+        self.writer.close()
+        with contextlib.suppress(OSError):
+            await self.writer.wait_closed()
+
     def begin_request(self, payload_bytes: int) -> None:
         """Records that a request of this size is in progress."""
         self._in_progress_bytes += payload_bytes + REQUEST_BYTES
@@ -465,18 +508,28 @@
         request on which the handler failed unexpectedly.
       on_notification: Called with the sender's name and each notification.
       on_disconnect: Called with the name of a peer whose last link has closed.
+      bound: Bounds the links from and to peers.
+      is_member: Returns whether a VM is a member that is alive, whose links do
+        not give way to others.
+      count_dialled: Returns the number of links that this daemon opened.
     """
 
     __slots__ = (
         "_acceptor",
+        "_bound",
         "_channels",
+        "_clock",
+        "_count_dialled",
         "_handler",
         "_handshakes",
+        "_is_member",
         "_on_disconnect",
         "_on_notification",
         "_on_protocol_error",
+        "_opening_count",
         "_settings",
         "_tasks",
+        "_uses",
         "accept_failures",
         "bytes_received",
         "bytes_sent",
@@ -489,7 +542,14 @@
         on_protocol_error: Callable[[], None],
         on_notification: Callable[[str, messages.Body], None] | None = None,
         on_disconnect: Callable[[str], None] = lambda name: None,
+        bound: limits.LinkBound | None = None,
+        is_member: Callable[[str], bool] = lambda name: True,
+        count_dialled: Callable[[], int] = lambda: 0,
     ):
+        self._bound = bound or limits.LinkBound(sys.maxsize)
+        self._is_member = is_member
+        self._count_dialled = count_dialled
+        self._clock = clocks.Clock()
         self._settings = settings
         self._handler = handler
         self._on_disconnect = on_disconnect
@@ -501,6 +561,10 @@
         self._tasks: set[asyncio.Task] = set()
         # Tasks of connections whose handshake is not complete, oldest first.
         self._handshakes: dict[asyncio.Task, None] = {}
+        # Accepted connections that are being opened, and all that are open with
+        # their channels once the handshake is complete, the oldest first.
+        self._opening_count = 0
+        self._uses: dict[limits.LinkUse, _Channel | None] = {}
         self.accept_failures = 0
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -545,6 +609,9 @@
         self.accept_failures += 1
 
     def _open_streams(self, connection: socket.socket) -> None:
+        if not self._make_room():
+            connection.close()
+            return
         loop = asyncio.get_running_loop()
         protocol = _transports.StreamProtocol(
             asyncio.StreamReader(), self._accept
@@ -552,13 +619,31 @@
         task = asyncio.create_task(
             loop.connect_accepted_socket(lambda: protocol, connection)
         )
+        self._opening_count += 1
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._on_opened)
         # A task that is cancelled before it has begun leaves it open.
         task.add_done_callback(
             lambda done: connection.close() if done.cancelled() else None
         )
 
+    def _on_opened(self, task: asyncio.Task) -> None:
+        self._opening_count -= 1
+        self._tasks.discard(task)
+
+    def _make_room(self) -> bool:
+        """Returns whether a further connection may be opened."""
+        link_count = (
+            self._opening_count + len(self._uses) + self._count_dialled()
+        )
+        admission, loser = self._bound.admit(
+            link_count, self._uses, self._is_member, self._clock.now()
+        )
+        if loser is not None:
+            del self._uses[loser]
+            loser.give_way()
+        return admission is not limits.Admission.CLOSE
+
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -568,9 +653,12 @@
             return
         # asyncio logs the cancellation of tasks that it creates for connections
         # as an error, so this creates the task itself.
-        task = asyncio.create_task(self._serve(reader, writer))
+        use = limits.LinkUse(self._clock.now(), lambda: task.cancel())
+        task = asyncio.create_task(self._serve(reader, writer, use))
+        self._uses[use] = None
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(lambda _: self._uses.pop(use, None))
         if len(self._handshakes) >= MAX_HANDSHAKES:
             oldest = next(iter(self._handshakes))
             del self._handshakes[oldest]
@@ -583,7 +671,10 @@
         task.add_done_callback(lambda _: writer.transport.abort())
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        use: limits.LinkUse,
     ) -> None:
         try:
             async with asyncio.timeout(HANDSHAKE_TIMEOUT_S):
@@ -591,26 +682,50 @@
                     reader, writer, self._settings, is_dialer=False
                 )
             self._handshakes.pop(asyncio.current_task(), None)
-            await self._serve_channel(channel)
+            await self._serve_channel(channel, use)
         except* (OSError, EOFError):
             pass
         except* Exception:
             # Includes `TimeoutError`s of the handshake's time limit.
             self._on_protocol_error()
 
-    async def _serve_channel(self, channel: _Channel) -> None:
+    async def _serve_channel(
+        self, channel: _Channel, use: limits.LinkUse
+    ) -> None:
         name = channel.hello.vm
         self._channels[name] = channel
+        use.peer = (name, channel.hello.incarnation)
+        use.give_way = channel.close
+        if use in self._uses:
+            self._uses[use] = channel
+            replaced = self._bound.choose_replaced(self._uses, use)
+            if replaced is not None:
+                self._uses[replaced].replace()
         try:
-            await self._process_messages(channel)
+            await self._process_messages(channel, use)
+            await channel.flush()
         finally:
             channel.close()
-            # A peer that has reconnected has a newer channel here: keep it.
+            self._uses.pop(use, None)
             if self._channels.get(name) is channel:
-                del self._channels[name]
-                self._on_disconnect(name)
-
-    async def _process_messages(self, channel: _Channel) -> None:
+                self._forget_newest(name)
+
+    def _forget_newest(self, name: str) -> None:
+        """Replaces the newest channel of a peer by the one before, if any."""
+        for channel in reversed(self._uses.values()):
+            if (
+                channel is not None
+                and channel.hello.vm == name
+                and not channel.is_replaced
+            ):
+                self._channels[name] = channel
+                return
+        del self._channels[name]
+        self._on_disconnect(name)
+
+    async def _process_messages(
+        self, channel: _Channel, use: limits.LinkUse
+    ) -> None:
         requests: set[asyncio.Task] = set()
         async with asyncio.TaskGroup() as group:
             while True:
@@ -618,8 +733,10 @@
                     await asyncio.wait(
                         requests, return_when=asyncio.FIRST_COMPLETED
                     )
-                async with asyncio.timeout(MAX_SILENCE_S):
-                    envelope = await channel.receive()
+                envelope = await channel.receive_next()
+                if envelope is None:
+                    return
+                use.heard_at = self._clock.now()
                 payload_bytes = channel.bytes_received
                 self.bytes_received += payload_bytes
                 channel.bytes_received = 0
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -5,6 +5,7 @@
 
 from citrondoor import clock as clocks
 from citrondoor import entry
+from citrondoor import limits
 from citrondoor import links
 from citrondoor import membership
 from citrondoor.codecs import envelopes
@@ -20,7 +21,7 @@
 class Node:
     """A daemon's peer network and view, on the loopback interface."""
 
-    def __init__(self, number, ports, seeds, incarnation=None):
+    def __init__(self, number, ports, seeds, incarnation=None, link_bound=None):
         self.writers = []
         self.cut_ports = set()
         self.port = ports[number]
@@ -46,6 +47,7 @@
             self.clock,
             test_dispatcher.FakeLog(),
             connector=self.connect,
+            link_bound=link_bound,
         )
         self.tick_task = None
 
@@ -569,3 +571,17 @@
         peers._on_notification("vm-2", unknown)
         peers._on_protocol_error()
     assert log.dropped_count == 600 - _decision_log.MAX_LINES_PER_S
+
+
+def test_a_daemon_with_many_seeds_dials_no_more_links_than_its_bound():
+    # Each of 6,300 seeds took a descriptor of each daemon at its start.
+    async def body():
+        port, *seed_ports = deployment.free_ports(41)
+        seeds = [f"127.0.0.1:{seed_port}" for seed_port in seed_ports]
+        node = Node(0, [port], seeds, link_bound=limits.LinkBound(20))
+        await node.start()
+        assert node.peers.link_count == 10
+        await node.stop()
+        await wait_closed()
+
+    asyncio.run(body())
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -35,11 +35,16 @@
 class Pair:
     """A peer server, and links that dial it."""
 
-    def __init__(self, settings=None, handler=increment_revision):
+    def __init__(self, settings=None, handler=increment_revision, **options):
         self.protocol_error_count = 0
         self.link_up = asyncio.Event()
+        self.disconnected: list[str] = []
         self.server = links.PeerServer(
-            settings or make_settings("vm-1"), handler, self.on_protocol_error
+            settings or make_settings("vm-1"),
+            handler,
+            self.on_protocol_error,
+            on_disconnect=self.disconnected.append,
+            **options,
         )
         self.port = 0
 
@@ -60,12 +65,13 @@
         name: str = "vm-1",
         on_notification=None,
         connector=asyncio.open_connection,
+        own_name: str = "vm-0",
     ) -> links.PeerLink:
         link = links.PeerLink(
             name,
             "127.0.0.1",
             self.port,
-            make_settings("vm-0", key),
+            make_settings(own_name, key),
             connector,
             self.on_state_change,
             on_notification,
@@ -78,9 +84,9 @@
     return messages.Body(config_advert=messages.ConfigAdvert(revision))
 
 
-def run(scenario, *options) -> None:
+def run(scenario, *arguments, **options) -> None:
     async def run_with_pair():
-        pair = Pair(*options)
+        pair = Pair(*arguments, **options)
         await pair.start()
         try:
             await scenario(pair)
@@ -485,3 +491,149 @@
         writer.close()
 
     run(scenario)
+
+
+async def open_link(pair, name="vm-0"):
+    """Returns an authenticated channel to the server."""
+    streams = await asyncio.open_connection("127.0.0.1", pair.port)
+    return await _peers._perform_handshake(
+        *streams, make_settings(name), is_dialer=True
+    )
+
+
+async def is_closed(channel) -> bool:
+    """Returns whether the server closes a channel within a moment."""
+    try:
+        async with asyncio.timeout(0.2):
+            return await channel._reader.read(1) == b""
+    except ConnectionError:
+        return True
+    except TimeoutError:
+        return False
+
+
+def test_links_of_one_peer_have_a_bound_in_number():
+    # 289 links of one peer left no descriptor for the store.
+    async def scenario(pair):
+        channels = [await open_link(pair) for _ in range(50)]
+        closed = await asyncio.gather(*(is_closed(c) for c in channels))
+        assert closed == [True] * 48 + [False] * 2
+        assert pair.server.is_linked("vm-0")
+        assert not pair.disconnected
+        for channel in channels:
+            channel.close()
+        await wait_until(lambda: pair.disconnected == ["vm-0"])
+
+    run(scenario)
+
+
+def test_a_request_on_a_link_that_is_replaced_is_answered():
+    may_end = asyncio.Event()
+
+    async def handle(sender, body):
+        await may_end.wait()
+        return body
+
+    async def scenario(pair):
+        link = pair.dial()
+        await pair.link_up.wait()
+        request = asyncio.create_task(link.request(make_advert(7)))
+        await asyncio.sleep(0.05)
+        channels = [await open_link(pair) for _ in range(2)]
+        await asyncio.sleep(0.05)
+        may_end.set()
+        reply = await request
+        assert reply.config_advert.revision == 7
+        await wait_until(lambda: not link.is_connected)
+        # Else it would be dialled again.
+        link.close()
+        for channel in channels:
+            assert not await is_closed(channel)
+            channel.close()
+
+    run(scenario, None, handle)
+
+
+def test_a_replaced_link_is_closed_though_its_request_does_not_end(monkeypatch):
+    monkeypatch.setattr(_peers, "REPLACED_GRACE_S", 0.2)
+
+    async def handle(sender, body):
+        await asyncio.Event().wait()
+
+    async def scenario(pair):
+        link = pair.dial()
+        await pair.link_up.wait()
+        request = asyncio.create_task(link.request(make_advert(7)))
+        await asyncio.sleep(0.05)
+        channels = [await open_link(pair) for _ in range(2)]
+        with pytest.raises(errors.PeerUnreachableError):
+            await request
+        link.close()
+        for channel in channels:
+            channel.close()
+
+    run(scenario, None, handle)
+
+
+def test_notifications_use_the_older_link_once_the_newer_one_is_closed():
+    # A daemon that looks for a lost member opens a second link to it.
+    async def scenario(pair):
+        older = await open_link(pair)
+        newer = await open_link(pair)
+        await wait_until(lambda: len(pair.server._uses) == 2)
+        newer.close()
+        await wait_until(lambda: len(pair.server._uses) == 1)
+        assert pair.server.notify("vm-0", make_advert(3))
+        envelope = await older.receive()
+        assert envelope.body.config_advert.revision == 3
+        assert not pair.disconnected
+        older.close()
+        await wait_until(lambda: pair.disconnected == ["vm-0"])
+
+    run(scenario)
+
+
+def test_links_beyond_the_bound_leave_those_of_members_that_are_alive():
+    bound = limits.LinkBound(10)
+
+    async def scenario(pair):
+        members = [await open_link(pair, f"member-{n}") for n in range(4)]
+        strangers = [await open_link(pair, f"vm-{n}") for n in range(20)]
+        for _ in range(20):
+            _, writer = await asyncio.open_connection("127.0.0.1", pair.port)
+            strangers.append(writer)
+        await wait_until(lambda: len(pair.server._uses) <= 6)
+        late = await open_link(pair, "member-4")
+        for member in [*members, late]:
+            assert not await is_closed(member)
+            member.close()
+        for stranger in strangers:
+            stranger.close()
+        assert bound.closed_count >= 30
+
+    run(
+        scenario,
+        bound=bound,
+        is_member=lambda name: name.startswith("member"),
+        count_dialled=lambda: 4,
+    )
+
+
+def test_members_beyond_the_bound_are_refused_and_the_others_stay():
+    bound = limits.LinkBound(5)
+
+    async def scenario(pair):
+        members = [await open_link(pair, f"member-{n}") for n in range(5)]
+        for _ in range(50):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", pair.port
+            )
+            with pytest.raises((EOFError, OSError)):
+                await reader.readexactly(1)
+            writer.close()
+        for member in members:
+            assert not await is_closed(member)
+            member.close()
+        assert bound.refused_count == 50
+
+    run(scenario, bound=bound)
--- a/tests/platform/test_descriptors.py
+++ b/tests/platform/test_descriptors.py
@@ -1,8 +1,12 @@
 """More callers than a daemon process may have descriptors."""
 
 import asyncio
+import pathlib
 
+from citrondoor import links
 from citrondoor.codecs import http1
+from citrondoor.links import _peers
+from citrondoor.schema import messages
 from tests.platform import deployment as deployments
 
 MAX_DESCRIPTORS = 256
@@ -116,3 +120,64 @@
             assert daemon.process.returncode is None
 
     asyncio.run(body())
+
+
+async def open_peer_link(port, name):
+    """Returns an authenticated link; None if it was not accepted."""
+    settings = links.PeerSettings(name, 1, b"", 4096, 500)
+    try:
+        streams = await asyncio.open_connection(deployments.HOST, port)
+        async with asyncio.timeout(0.5):
+            return await _peers._perform_handshake(
+                *streams, settings, is_dialer=True
+            )
+    except (OSError, EOFError, TimeoutError):
+        return None
+
+
+def test_links_of_peers_without_end_leave_descriptors_for_all_others(tmp_path):
+    # FAULT: 289 links of one peer left no descriptor for the store.
+    async def body():
+        async with LimitedDeployment(tmp_path) as deployment:
+            daemon = deployment.daemons[1]
+
+            async def has_joined():
+                return len(await deployment.addresses(daemon)) == 2
+
+            await deployment.wait_until(has_joined)
+            await asyncio.sleep(1.2)
+            link_losses = count_events(daemon, "link_down")
+            channels = []
+            for number in range(300):
+                name = "vm-9" if number % 2 else f"vm-{number + 10}"
+                channels.append(await open_peer_link(daemon.peers, name))
+                for channel in channels:
+                    if number % 50 == 0 and channel is not None:
+                        channel.send(messages.Envelope(0, 0, messages.Body()))
+            folder = f"/proc/{daemon.process.pid}/fd"
+            assert len(list(pathlib.Path(folder).iterdir())) < 128
+            assert not count_events(daemon, "store_lost")
+            for _ in range(10):
+                response = await deployment.send_request(daemon)
+                assert response.status == 200
+                assert await deployment.is_ready(daemon)
+                await asyncio.sleep(0.2)
+            reads = []
+
+            async def has_summary():
+                reads[:] = [
+                    r["store_age_ms"]
+                    for r in daemon.log_records()
+                    if r["event"] == "summary" and r["turned_away"]
+                ]
+                return bool(reads)
+
+            await deployment.wait_until(has_summary)
+            assert max(reads) < 2000
+            assert len(await deployment.addresses(daemon)) == 2
+            assert count_events(daemon, "link_down") == link_losses
+            for channel in channels:
+                if channel is not None:
+                    channel.close()
+
+    asyncio.run(body())
