Bound and count what a peer's message takes decoded

Cause: only the bytes of a partial frame and of the payload of a request counted; the limit on the decompressed size was that of a frame, and nothing looked at the objects.

Why it works: a message is decompressed in pieces of 64 KB that count, up to what half of the account allows; its objects are estimated from its length and its zero bytes (each struct ends with one) and counted before it is decoded, and until its request has ended. A message over half of the account is dropped with a line in the log; the link stays, as the stream is in step, and the request that it answers ends with its timeout. The view of 63,000 searchers, 5.5 MB, takes 35 MB decoded and is estimated at 49 MB.

--- a/citrondoor/codecs/peers.py
+++ b/citrondoor/codecs/peers.py
@@ -28,6 +28,11 @@
 # Names and addresses in lists of members, searchers and routes repeat so much
 # that the fastest level already removes most of the bytes.
 _COMPRESSION_LEVEL = 1
+# Estimated memory of a decoded message for each byte of its text, and for each
+# zero byte, with which each struct ends. It is over what the view of a large
+# cluster takes, and at least 0.3 of what any message does.
+DECODED_BYTES_PER_BYTE = 7
+_STRUCT_BYTES = 56
 _PLAIN = b"\0"
 _COMPRESSED = b"\1"
 _LENGTH = struct.Struct(">I")
@@ -64,6 +69,11 @@
     return message
 
 
+def estimate_decoded_bytes(data: bytes) -> int:
+    """Returns an estimate of the memory that a message takes decoded."""
+    return len(data) * DECODED_BYTES_PER_BYTE + data.count(0) * _STRUCT_BYTES
+
+
 def compress(message: bytes) -> bytes:
     """Returns an encoded message for a peer that accepts compression.
 
@@ -76,32 +86,60 @@
     return _PLAIN + message
 
 
-def decompress(payload: bytes, max_bytes: int) -> bytes:
+def decompress(
+    payload: bytes,
+    max_bytes: int,
+    on_piece: Callable[[int], None] = lambda message_bytes: None,
+) -> bytes:
     """Returns the encoded message that `compress` was given.
 
     Args:
       payload: Result of `compress`.
       max_bytes: Maximum size of the message.
+      on_piece: Called with the size of the message so far.
 
     Raises:
-      errors.FrameError: The payload is malformed or the message too long.
+      errors.FrameError: The payload is malformed.
+      errors.MessageTooLargeError: The message is too long.
     """
     if payload[:1] == _PLAIN:
+        if len(payload) - 1 > max_bytes:
+            raise _make_too_long_error(payload, max_bytes)
         return payload[1:]
+    if payload[:1] != _COMPRESSED:
+        raise _make_malformed_error(payload, "its kind is unknown")
     decompressor = zlib.decompressobj()
+    message = bytearray()
+    rest = memoryview(payload)[1:]
     try:
-        message = decompressor.decompress(payload[1:], max_bytes)
+        while rest and not decompressor.eof:
+            piece = decompressor.decompress(rest, PIECE_BYTES)
+            rest = decompressor.unconsumed_tail
+            message += piece
+            if len(message) > max_bytes:
+                raise _make_too_long_error(payload, max_bytes)
+            on_piece(len(message))
     except zlib.error as error:
-        raise errors.FrameError(
-            f"cannot decompress a message of {len(payload)} bytes: {error};"
-            " check that the peer is a daemon of a compatible version"
-        ) from error
-    if payload[:1] != _COMPRESSED or not decompressor.eof:
-        raise errors.FrameError(
-            f"a compressed message of {len(payload)} bytes is malformed, or"
-            f" longer than the {max_bytes} bytes that are allowed"
-        )
-    return message
+        raise _make_malformed_error(payload, str(error)) from error
+    if not decompressor.eof:
+        raise _make_malformed_error(payload, "its end is missing")
+    return bytes(message)
+
+
+def _make_malformed_error(payload: bytes, reason: str) -> errors.FrameError:
+    return errors.FrameError(
+        f"cannot decompress a message of {len(payload)} bytes: {reason}; check"
+        " that the peer is a daemon of a compatible version"
+    )
+
+
+def _make_too_long_error(
+    payload: bytes, max_bytes: int
+) -> errors.MessageTooLargeError:
+    return errors.MessageTooLargeError(
+        f"a message of {len(payload)} bytes is longer decompressed than the"
+        f" {max_bytes} bytes that are allowed; raise `memory_mb`"
+    )
 
 
 class FrameAuthenticator:
--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -676,6 +676,9 @@
                 )
 
     def _on_event(self, kind: str, detail: str) -> None:
+        if kind == "message_dropped":
+            self._log.write_rate_limited(kind, detail=detail)
+            return
         self._log.write(kind, detail=detail)
         if kind == "link_up":
             self._newly_linked.add(detail)
--- a/citrondoor/errors.py
+++ b/citrondoor/errors.py
@@ -26,6 +26,10 @@
     """A peer sent a malformed frame or an unexpected message."""
 
 
+class MessageTooLargeError(FrameError):
+    """A peer sent a message that would take too much memory once decoded."""
+
+
 class PeerRefusedError(CitrondoorError):
     """A peer failed authentication, is the wrong VM, or refused a request."""
 
--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -49,6 +49,8 @@
 MAX_REQUESTS_IN_PROGRESS = 256
 # Memory of a request in progress besides its message: its task and its reply.
 REQUEST_BYTES = 4096
+# Part of the account that one message may take decoded.
+MAX_DECODED_SHARE = 0.5
 # Less is not recorded in the account.
 MIN_RECORDED_BYTES = 65_536
 
@@ -116,8 +118,10 @@
     """
 
     __slots__ = (
+        "_decoded_bytes",
         "_holder",
         "_in_progress_bytes",
+        "_max_decoded_bytes",
         "_max_frame_bytes",
         "_partial_bytes",
         "_reader",
@@ -149,6 +153,11 @@
         self._holder = settings.account.open(
             serving.Sender.PEER, writer.transport.abort
         )
+        self._max_decoded_bytes = int(
+            settings.account.max_bytes * MAX_DECODED_SHARE
+        )
+        # What the last message takes, until the next one is read.
+        self._decoded_bytes = 0
         self._partial_bytes = 0
         self._in_progress_bytes = 0
         self._silence_limit: asyncio.Timeout | None = None
@@ -175,18 +184,43 @@
         self._record_kept()
 
     async def receive(self) -> messages.Envelope:
-        """Waits for the next message and returns it."""
+        """Waits for the next message and returns it.
+
+        Raises:
+          errors.FrameError: A frame or its message is malformed.
+          errors.MessageTooLargeError: The message takes too much memory; the
+            next one can be read.
+        """
+        self._record_decoded(0)
         payload = await codec.read_frame(
             self._reader,
             self._receive_authenticator,
             self._max_frame_bytes,
             self._record_partial,
         )
-        self._record_partial(0)
         self.bytes_received += len(payload)
         # Both sides compress if both accept it, and this one always does.
         if self.hello.accepts_compression:
-            payload = codec.decompress(payload, self._max_frame_bytes)
+            payload_bytes = len(payload)
+            payload = codec.decompress(
+                payload,
+                min(
+                    self._max_frame_bytes,
+                    self._max_decoded_bytes // codec.DECODED_BYTES_PER_BYTE,
+                ),
+                lambda size: self._record_partial(payload_bytes + size),
+            )
+        decoded_bytes = codec.estimate_decoded_bytes(payload)
+        if decoded_bytes > self._max_decoded_bytes:
+            raise errors.MessageTooLargeError(
+                f"a message of {len(payload)} bytes takes about"
+                f" {decoded_bytes} bytes of memory; at most"
+                f" {self._max_decoded_bytes} are allowed: raise `memory_mb`"
+            )
+        self._partial_bytes = 0
+        self._record_decoded(len(payload) + decoded_bytes)
+        if self.writer.transport.is_closing():
+            raise errors.FrameError("a message gave way to others")
         return codec.decode(messages.Envelope, payload)
 
     async def receive_next(self) -> messages.Envelope | None:
@@ -221,14 +255,21 @@
         with contextlib.suppress(OSError):
             await self.writer.wait_closed()
 
-    def begin_request(self, payload_bytes: int) -> None:
-        """Records that a request of this size is in progress."""
-        self._in_progress_bytes += payload_bytes + REQUEST_BYTES
+    def begin_request(self) -> int:
+        """Records that the last message is a request in progress.
+
+        Returns:
+          What it takes in memory, for `end_request`.
+        """
+        kept_bytes, self._decoded_bytes = self._decoded_bytes, 0
+        kept_bytes += REQUEST_BYTES
+        self._in_progress_bytes += kept_bytes
         self._record_kept()
+        return kept_bytes
 
-    def end_request(self, payload_bytes: int) -> None:
+    def end_request(self, kept_bytes: int) -> None:
         """Records the end of a request."""
-        self._in_progress_bytes -= payload_bytes + REQUEST_BYTES
+        self._in_progress_bytes -= kept_bytes
         self._record_kept()
 
     def close(self) -> None:
@@ -240,18 +281,24 @@
         self._partial_bytes = received_bytes
         self._record_kept()
 
+    def _record_decoded(self, decoded_bytes: int) -> None:
+        self._decoded_bytes = decoded_bytes
+        self._record_kept()
+
     def _record_kept(self) -> None:
         transport = self.writer.transport
         kept_bytes = (
             self._partial_bytes
+            + self._decoded_bytes
             + self._in_progress_bytes
             + transport.get_write_buffer_size()
         )
         if kept_bytes < MIN_RECORDED_BYTES or transport.is_closing():
             kept_bytes = 0
         if kept_bytes != self._holder.kept_bytes:
-            # The peer may never send the rest of a frame, nor read a reply.
-            self._holder.record(kept_bytes, is_endless=True)
+            # The peer may never send the rest of a frame, nor read a reply. A
+            # message that is decoded is released soon.
+            self._holder.record(kept_bytes, is_endless=not self._decoded_bytes)
 
 
 async def _perform_handshake(
@@ -311,7 +358,8 @@
       port: Its peer port.
       settings: Settings that all links share.
       connector: Opens a connection; tests replace it to simulate lost links.
-      on_state_change: Called with `link_up` or `link_down` and the peer's name.
+      on_state_change: Called with `link_up` or `link_down` and the peer's name,
+        and with `message_dropped` and why a message was not decoded.
       on_notification: Called with the peer's name and each notification that
         it sends on this link.
     """
@@ -474,7 +522,13 @@
     async def _receive(self) -> None:
         channel = self._channel
         while True:
-            envelope = await channel.receive()
+            try:
+                envelope = await channel.receive()
+            except errors.MessageTooLargeError as error:
+                self._on_state_change(
+                    "message_dropped", f"{self.name}: {error}"
+                )
+                continue
             self.bytes_sent += channel.bytes_sent
             self.bytes_received += channel.bytes_received
             channel.bytes_sent = channel.bytes_received = 0
@@ -733,24 +787,27 @@
                     await asyncio.wait(
                         requests, return_when=asyncio.FIRST_COMPLETED
                     )
-                envelope = await channel.receive_next()
+                try:
+                    envelope = await channel.receive_next()
+                except errors.MessageTooLargeError:
+                    self._on_protocol_error()
+                    continue
                 if envelope is None:
                     return
                 use.heard_at = self._clock.now()
-                payload_bytes = channel.bytes_received
-                self.bytes_received += payload_bytes
+                self.bytes_received += channel.bytes_received
                 channel.bytes_received = 0
                 if not envelope.id and self._on_notification is not None:
                     self._on_notification(channel.hello.vm, envelope.body)
                     continue
                 # A handler may wait for other requests, so it runs in its own
                 # task and does not delay the next message.
-                channel.begin_request(payload_bytes)
+                kept_bytes = channel.begin_request()
                 request = group.create_task(self._send_reply(channel, envelope))
                 requests.add(request)
                 request.add_done_callback(requests.discard)
                 request.add_done_callback(
-                    lambda _, size=payload_bytes: channel.end_request(size)
+                    lambda _, size=kept_bytes: channel.end_request(size)
                 )
 
     async def _send_reply(
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -637,3 +637,85 @@
         assert bound.refused_count == 50
 
     run(scenario, bound=bound)
+
+
+def make_large_body(count):
+    """Returns a request that is small compressed and large decoded."""
+    news = [serving.UpstreamNews("", n % 10, None) for n in range(count)]
+    stamp = serving.ViewStamp(1, 2, 3)
+    return messages.Body(view_news=serving.ViewNews(stamp, None, news))
+
+
+def test_a_request_in_progress_counts_with_what_it_takes_decoded():
+    account = limits.MemoryAccount(20_000_000)
+    may_end = asyncio.Event()
+    kept = []
+
+    async def handle(sender, body):
+        kept.append(account.kept_bytes_of(serving.Sender.PEER))
+        await may_end.wait()
+        return make_advert(1)
+
+    async def scenario(pair):
+        link = pair.dial()
+        await pair.link_up.wait()
+        request = asyncio.create_task(link.request(make_large_body(30_000)))
+        await wait_until(lambda: kept)
+        assert link.bytes_sent < 20_000
+        assert kept[0] > 3_000_000
+        assert account.kept_bytes == kept[0]
+        may_end.set()
+        await request
+        await wait_until(lambda: not account.kept_bytes)
+        link.close()
+
+    run(scenario, make_settings("vm-1", KEY, 2**25, account), handle)
+
+
+def test_a_message_too_large_to_decode_is_dropped_and_its_link_stays():
+    # A frame of 22 KB took 33.6 MB, on no account.
+    account = limits.MemoryAccount(4_000_000)
+
+    async def scenario(pair):
+        link = pair.dial()
+        await pair.link_up.wait()
+        tracemalloc.start()
+        with pytest.raises(errors.PeerUnreachableError):
+            await link.request(make_large_body(200_000), timeout_ms=300)
+        await link.request(make_advert(1))
+        tracemalloc.stop()
+        assert pair.protocol_error_count == 1
+        assert account.peak_bytes < 4_000_000
+        link.close()
+
+    run(scenario, make_settings("vm-1", KEY, 2**25, account))
+
+
+def test_a_reply_too_large_to_decode_is_dropped_and_its_link_stays():
+    async def handle(sender, body):
+        if body.config_advert is None:
+            return make_advert(1)
+        return make_large_body(200_000)
+
+    async def scenario(pair):
+        changes = []
+        account = limits.MemoryAccount(4_000_000)
+        link = links.PeerLink(
+            "vm-1",
+            "127.0.0.1",
+            pair.port,
+            make_settings("vm-0", KEY, 2**25, account),
+            asyncio.open_connection,
+            lambda kind, detail: changes.append((kind, detail)),
+        )
+        link.start()
+        await wait_until(lambda: link.is_connected)
+        with pytest.raises(errors.PeerUnreachableError):
+            await link.request(make_advert(1), timeout_ms=300)
+        reply = await link.request(messages.Body())
+        assert reply.config_advert.revision == 1
+        assert [kind for kind, _ in changes] == ["link_up", "message_dropped"]
+        assert "raise `memory_mb`" in changes[-1][1]
+        link.close()
+
+    run(scenario, make_settings("vm-1", KEY, 2**25), handle)
