Read numbers with an exponent and null lists as JSON templates write them

What users would see: a daemon that does not start (exit 2): rule FAULT. Cause: the platform fills in the template of the settings, and YAML 1.1 takes 1e3 or 5e-05 for a text; an empty list may be written as null (seeds: null, or zones: without entries). Whether the platform writes so is not known. The tests failed before with "heartbeat_ms is '1e3'" and "seeds is not a list". Why it works: only plain scalars of JSON's form count, with the ranges as before, and only lists that may be left out may be null, so that a file that is cut off stays invalid.

--- a/citrondoor/documents/_build.py
+++ b/citrondoor/documents/_build.py
@@ -25,6 +25,7 @@
 FIELD_TYPE = 1
 FIELD_NAME = 2
 FIELD_TYPE_ARGS = 3
+FIELD_DEFAULT = 4
 
 _RANGES = {
     **declaration_constants.RANGES,
@@ -46,6 +47,12 @@
     "number": ("tag:yaml.org,2002:int", "tag:yaml.org,2002:float"),
     "str": ("tag:yaml.org,2002:str",),
 }
+_NULL_TAG = "tag:yaml.org,2002:null"
+# A number as JSON writes it. Of those with an exponent, YAML 1.1 takes the ones
+# without a fraction or without a sign of the exponent for texts.
+_JSON_EXPONENT_NUMBER = re.compile(
+    r"-?(0|[1-9]\d*)(\.\d+)?[eE][+-]?\d+", re.ASCII
+)
 # Converts scalar nodes to Python values.
 _constructor = yaml.SafeLoader("")
 
@@ -57,6 +64,19 @@
     }
 
 
+def _is_null(node: yaml.Node) -> bool:
+    return node.tag == _NULL_TAG
+
+
+def _is_exponent_number(node: yaml.Node) -> bool:
+    return (
+        isinstance(node, yaml.ScalarNode)
+        # Not in quotes.
+        and not node.style
+        and _JSON_EXPONENT_NUMBER.fullmatch(node.value) is not None
+    )
+
+
 class Builder:
     """Builds the objects of one document.
 
@@ -107,6 +127,10 @@
                     key_node, f"duplicate key {key!r}", "keep one"
                 )
             label = f"{schema_class.__name__}.{key}"
+            if _is_null(value_node) and field[FIELD_DEFAULT] == []:
+                # How some templates write a list without items.
+                values[key] = []
+                continue
             values[key] = self._build_value(
                 field[FIELD_TYPE], field[FIELD_TYPE_ARGS], value_node, label
             )
@@ -158,7 +182,11 @@
         return enum_class[node.value.upper()]
 
     def _build_scalar(self, scalar_type: str, node: yaml.Node, label: str):
-        if node.tag not in _TAGS_BY_SCALAR_TYPE[scalar_type]:
+        if scalar_type in ("int", "number") and _is_exponent_number(node):
+            value = float(node.value)
+        elif node.tag in _TAGS_BY_SCALAR_TYPE[scalar_type]:
+            value = _constructor.construct_object(node)
+        else:
             content = getattr(node, "value", node)
             shown = content if isinstance(content, str) else "a list or mapping"
             raise self._error(
@@ -167,7 +195,6 @@
                 f"write a value of type {scalar_type} (quoted if it is str,"
                 " otherwise without quotes)",
             )
-        value = _constructor.construct_object(node)
         if scalar_type == "int":
             if value != value // 1:
                 raise self._error(
--- a/tests/documents/test_read.py
+++ b/tests/documents/test_read.py
@@ -54,6 +54,7 @@
         ("vm: entry-1\n", "", 1, "is missing the field 'vm'"),
         ("  key", " - key", 10, "invalid YAML"),
         ("peers:", "peers: 5\nx:", 8, "is not a mapping"),
+        ("vm: entry-1", "vm:", 1, "is ''"),
     ],
 )
 def test_error_is_one_line_with_path_line_fault_and_remedy(
@@ -89,6 +90,29 @@
     assert str(caught.value).startswith("s.yaml:10: ")
 
 
+@pytest.mark.parametrize("written", ["1e3", "1E+3", "10e2", "1.0e3"])
+def test_a_number_is_read_as_json_writes_it(written):
+    text = VALID_SETTINGS.replace(": 100", f": {written}")
+    assert read(text).peers.heartbeat_ms == 1000
+
+
+@pytest.mark.parametrize("written", ["'1000'", "1e", "e3", "1e400", "0x1e3x"])
+def test_a_text_is_no_number(written):
+    with pytest.raises(errors.DocumentError, match="heartbeat_ms is"):
+        read(VALID_SETTINGS.replace(": 100", f": {written}"))
+
+
+@pytest.mark.parametrize("written", ["[]", "null", ""])
+def test_a_list_without_items_may_be_null(written):
+    assert read(f"{VALID_SETTINGS}seeds: {written}\n").seeds == []
+
+
+def test_a_list_that_is_required_may_not_be_null():
+    # A file that is cut off after its key would be valid.
+    with pytest.raises(errors.DocumentError, match="is not a list"):
+        documents.read_text(declarations.Zones, "zones", "zones:")
+
+
 def test_unknown_keys_are_ignored_if_the_reader_wants_to_know_of_them():
     unknown = []
     settings = documents.read_text(
