--- a/citrondoor/addresses.py
+++ b/citrondoor/addresses.py
@@ -12,6 +12,7 @@
       errors.ParameterError: The text has no host, or no port from 1 to 65535.
     """
     host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+    is_number = port.isascii() and port.isdigit()
+    if not host or not is_number or not 0 < int(port) <= MAX_PORT:
         raise errors.ParameterError("address", text, "write IP:PORT")
     return host, int(port)
--- a/tests/daemon/test_entry_daemon.py
+++ b/tests/daemon/test_entry_daemon.py
@@ -44,6 +44,7 @@
         ("127.0.0.1:1", "127.0.0.1", "front is '127.0.0.1'"),
         ("127.0.0.1:6", "x:70000", r"seeds\[0\]"),
         ("127.0.0.1:7", ":7", "store.address"),
+        ("127.0.0.1:7", "127.0.0.1:²", "store.address"),
         ("extra_slack: 54", "extra_slack: -1", "extra_slack is -1"),
         ("extra_slack: 54", "extra_slak: 54", "extra_slak"),
         ("vm: vm-1", "zone: b", "zone"),
