--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -455,12 +455,18 @@
     def _lost_addresses(self) -> set[tuple[str, int]]:
         """Returns where a member was or may be, and none is known alive.
 
-        A daemon that knows no peer has links to all seeds already.
+        A daemon that knows no peer has links to seeds already, to all of them
+        if there are not too many.
         """
-        if any(key.startswith(_SEED_PREFIX) for key in self._links):
-            return set()
         lost = {addresses.split_address(seed) for seed in self._seeds}
         alive = {self._own_address}
+        linked = {
+            link.endpoint
+            for key, link in self._links.items()
+            if key.startswith(_SEED_PREFIX)
+        }
+        if linked:
+            return lost - linked - alive
         for member in self._members.all_members:
             if member.place is None:
                 continue
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -581,6 +581,8 @@
         node = Node(0, [port], seeds, link_bound=limits.LinkBound(20))
         await node.start()
         assert node.peers.link_count == 10
+        # Else it would be alone for good if those ten are lost.
+        assert len(node.peers._lost_addresses()) == 30
         await node.stop()
         await wait_closed()
 
