Bound the memory of routes and searchers

A peer's changes and removed searchers, which are kept for 60 s, had no bound; a configuration took up to 33 MB while a read of the store was counted without it. Callers would see the daemon killed.

Why it works: the registry adds up searchers and removed ones as they change, and a route table knows its size. What would make both take over a fifth of memory_mb is refused as a whole before any of it is applied: the old view stays in force, its age in the summary goes on, and the log says why (store_lost with the reason, or view_refused for a peer). Removed searchers give way to listed ones; peers learn by removals_known_after that removals may be missing, as they do after 60 s. A configuration counts in its read, and is unreadable beyond what the read has left, which leaves the last one in force.

test_deep_or_long_json_is_reported... had an account of 1,000 bytes, in which each configuration is too large now; it has one without a limit, and the size has its own test.

--- a/benchmarks/bench_memory.py
+++ b/benchmarks/bench_memory.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import base64
 import contextlib
 import functools
 import hashlib
@@ -29,6 +30,7 @@
 # Time before the trouble begins, in seconds.
 CALM_S = 1.0
 LARGE_ANSWER_BYTES = 8_000_000
+SEARCHERS = 5000
 SMALL_STRUCTS = 10_000_000
 _KB_PER_MB = 1024
 _HEAD = b"POST /once/x HTTP/1.1\r\nhost: shop.example\r\nx-request-id: t\r\n"
@@ -56,6 +58,8 @@
     "head": (_RESPONSE + b"x-a: ", b"x" * 262_144),
     "json": (_RESPONSE + b"\r\n", b"[" + b"[]," * 5_000_000 + b"[]]"),
     "pages": (b"", b""),
+    # All searchers are new ones in each answer.
+    "searchers": (b"", b""),
 }
 
 
@@ -110,6 +114,17 @@
                 writer.write(http1.encode_response(answer, False))
             elif self._framing == "pages":
                 writer.write(http1.encode_response(self._page(), False))
+            elif self._framing == "searchers":
+                answer = await self._store.handle(None, None)
+                page = orjson.loads(answer.body)
+                self._number += 1
+                first = self._number * SEARCHERS
+                page["items"] += [
+                    _searcher_item(n) for n in range(first, first + SEARCHERS)
+                ]
+                page["store-revision"] += self._number
+                answer.body = orjson.dumps(page)
+                writer.write(http1.encode_response(answer, False))
             else:
                 first, following = STORE_FRAMINGS[self._framing]
                 writer.write(first)
@@ -149,6 +164,22 @@
     return reader, writer, peer_codec.FrameAuthenticator(key)
 
 
+def _searcher_item(number: int) -> dict:
+    value = {
+        "service": f"shard-{number // 3:07}",
+        "address": f"10.0.{number // 256 % 256}.{number % 256}:8000",
+        "zone": f"zone-{number % 5}",
+        "version": "v1",
+        "capacity": 3,
+        "state": "ready",
+        "warmup-left-ms": 0,
+        "seq": 1,
+        "born": number,
+    }
+    text = base64.b64encode(orjson.dumps(value)).decode()
+    return {"key": f"servers/x-{number:09}", "value": text, "rev": 1}
+
+
 @functools.cache
 def _large_payload() -> bytes:
     """Returns a compressed message of many small structs."""
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -235,7 +235,11 @@
     def _build_view(self) -> None:
         settings = self._settings
         regions_by_zone = {zone.zone: zone.region for zone in settings.zones}
-        self._view = entry.LocalView(self._record_event, regions_by_zone)
+        self._view = entry.LocalView(
+            self._record_event,
+            regions_by_zone,
+            limits.view_limit_bytes(settings),
+        )
         self._peers = entry.PeerNetwork(
             settings,
             self._incarnation,
--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -21,6 +21,11 @@
 WARMUP_RESTART_MS = 500
 
 
+# Estimated memory of a searcher and of a tombstone besides their texts.
+_UPSTREAM_BYTES = 768
+_TOMBSTONE_BYTES = 384
+
+
 class _Record:
     __slots__ = (
         "changed_at_revision",
@@ -51,10 +56,12 @@
         "_behind_since",
         "_evacuated",
         "_listener",
+        "_live_bytes",
         "_records",
         "_removals_known_after",
         "_revision",
         "_store_recovered_at",
+        "_tombstone_bytes",
         "_usable_by_backend",
         "_version",
     )
@@ -62,6 +69,9 @@
     def __init__(self, listener: Callable[[str, str], None]):
         self._listener = listener
         self._records: dict[str, _Record] = {}
+        # Estimated memory of searchers and of tombstones.
+        self._live_bytes = 0
+        self._tombstone_bytes = 0
         self._usable_by_backend: dict[str, list[serving.Upstream]] | None = None
         self._evacuated: frozenset[str] = frozenset()
         self._store_recovered_at: int | None = None
@@ -90,11 +100,57 @@
         """Clock time of the first incomplete update since a complete one."""
         return self._behind_since
 
+    @property
+    def kept_bytes(self) -> int:
+        """Estimate of the memory of all searchers and tombstones."""
+        return self._live_bytes + self._tombstone_bytes
+
     @property
     def version(self) -> int:
         """Grows with each change that may affect the usable searchers."""
         return self._version
 
+    def estimate_listing(self, upstreams: list[serving.Upstream]) -> int:
+        """Returns the memory of the searchers after a listing, in bytes.
+
+        Those that it lacks may be kept for a while.
+        """
+        listed = {upstream.id for upstream in upstreams}
+        return sum(map(_estimate, upstreams)) + sum(
+            _estimate(record.upstream)
+            for upstream_id, record in self._records.items()
+            if record.upstream is not None and upstream_id not in listed
+        )
+
+    def estimate_updates(self, updates: list[serving.UpstreamNews]) -> int:
+        """Returns the memory of the searchers after a peer's changes."""
+        live_bytes = self._live_bytes
+        for update in updates:
+            record = self._records.get(update.id)
+            if update.upstream is not None:
+                live_bytes += _estimate(update.upstream)
+                if record is not None:
+                    live_bytes -= _estimate(record.upstream)
+        return live_bytes
+
+    def drop_tombstones(self, max_bytes: int) -> None:
+        """Drops the oldest tombstones while more memory is kept.
+
+        Args:
+          max_bytes: Limit on `kept_bytes`.
+        """
+        if self.kept_bytes <= max_bytes:
+            return
+        tombstones = sorted(
+            (record.removed_at, upstream_id)
+            for upstream_id, record in self._records.items()
+            if record.upstream is None
+        )
+        for _, upstream_id in tombstones:
+            if self.kept_bytes <= max_bytes:
+                return
+            self._drop_tombstone(upstream_id)
+
     def usable_upstreams(self, backend: str) -> list[serving.Upstream]:
         """Returns the searchers of a back end that may receive new work."""
         if self._usable_by_backend is None:
@@ -241,6 +297,8 @@
         # learn from this one that it is gone.
         tombstone = _Record(None, update.revision)
         tombstone.removed_at = now
+        if record is None:
+            self._tombstone_bytes += _tombstone_size(update.id)
         self._records[update.id] = tombstone
 
     def _advance(self, revision: int) -> None:
@@ -302,7 +360,10 @@
                 return
         if record is None:
             record = self._records[upstream.id] = _Record(None, revision)
+        elif record.upstream is None:
+            self._tombstone_bytes -= _tombstone_size(upstream.id)
         previous = record.upstream
+        self._live_bytes += _estimate(upstream) - _estimate(previous)
         record.upstream = upstream
         record.changed_at_revision = revision
         record.cold_until = cold_until if upstream.warm_in_ms else 0
@@ -327,6 +388,8 @@
     def _remove(
         self, upstream_id: str, record: _Record, revision: int, now: int
     ) -> None:
+        self._live_bytes -= _estimate(record.upstream)
+        self._tombstone_bytes += _tombstone_size(upstream_id)
         record.upstream = None
         record.changed_at_revision = revision
         record.removed_at = now
@@ -341,10 +404,14 @@
             and now - record.removed_at > TOMBSTONE_MS
         ]
         for upstream_id in old:
-            record = self._records.pop(upstream_id)
-            self._removals_known_after = max(
-                self._removals_known_after, record.changed_at_revision
-            )
+            self._drop_tombstone(upstream_id)
+
+    def _drop_tombstone(self, upstream_id: str) -> None:
+        record = self._records.pop(upstream_id)
+        self._tombstone_bytes -= _tombstone_size(upstream_id)
+        self._removals_known_after = max(
+            self._removals_known_after, record.changed_at_revision
+        )
 
     def _on_usable_changed(self) -> None:
         self._usable_by_backend = None
@@ -370,6 +437,23 @@
         )
 
 
+def _estimate(upstream: serving.Upstream | None) -> int:
+    """Returns the memory of a searcher and its record, in bytes."""
+    if upstream is None:
+        return 0
+    return (
+        _UPSTREAM_BYTES
+        + 2 * len(upstream.id)
+        + len(upstream.backend)
+        + len(upstream.host)
+        + len(upstream.zone)
+    )
+
+
+def _tombstone_size(upstream_id: str) -> int:
+    return _TOMBSTONE_BYTES + len(upstream_id)
+
+
 def _is_same_registration(
     one: serving.Upstream, other: serving.Upstream
 ) -> bool:
--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -623,9 +623,14 @@
         reply = await link.request(envelopes.wrap(request))
         updates = envelopes.unwrap(reply)
         _check_type(updates, serving.ViewNews, link.name)
-        self._view.apply_updates(
-            updates, link.name, self._clock.now(), is_whole
-        )
+        try:
+            self._view.apply_updates(
+                updates, link.name, self._clock.now(), is_whole
+            )
+        except errors.ViewTooLargeError as error:
+            self._log.write_rate_limited(
+                "view_refused", peer=link.name, reason=str(error)
+            )
 
     def _apply_heartbeat(
         self, heartbeat: messages.EntryBeat, sender: str
--- a/citrondoor/entry/_store_poller.py
+++ b/citrondoor/entry/_store_poller.py
@@ -137,6 +137,7 @@
         started_at = self._clock.now()
         try:
             contents = await self._store.read()
+            self._view.check_store_contents(contents)
         except errors.PlatformError as error:
             self._on_failure(error)
             return False
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -1,8 +1,10 @@
 """The local view of routes, searchers and evacuated availability zones."""
 
+import sys
 from collections.abc import Callable
 
 from citrondoor import discovery
+from citrondoor import errors
 from citrondoor import routes
 from citrondoor.schema import serving
 
@@ -19,9 +21,12 @@
     Args:
       on_event: Called with the kind and detail of each change, for the log.
       regions: Region of each availability zone.
+      max_bytes: Limit on the estimated memory of the view. What would exceed it
+        is refused as a whole, and the view stays.
     """
 
     __slots__ = (
+        "_max_bytes",
         "_on_event",
         "_regions",
         "_subscribers",
@@ -31,8 +36,12 @@
     )
 
     def __init__(
-        self, on_event: Callable[[str, str], None], regions: dict[str, str]
+        self,
+        on_event: Callable[[str, str], None],
+        regions: dict[str, str],
+        max_bytes: int = sys.maxsize,
     ):
+        self._max_bytes = max_bytes
         self._on_event = on_event
         self._regions = regions
         self._subscribers: list[Callable[[], None]] = []
@@ -89,6 +98,13 @@
         self._notify_if_changed(old_versions)
         return is_new
 
+    def check_store_contents(self, contents) -> None:
+        """Raises `errors.ViewTooLargeError` if they take too much memory."""
+        self._check_size(
+            contents.routes,
+            self.registry.estimate_listing(contents.upstreams),
+        )
+
     def apply_store_contents(self, contents, now: int) -> None:
         """Applies the `StoreContents` of one store read.
 
@@ -101,6 +117,7 @@
             contents.evacuated_zones, contents.revision, "store"
         )
         self.registry.apply_listing(contents.upstreams, contents.revision, now)
+        self._drop_tombstones()
         self._notify_if_changed(old_versions)
 
     def apply_updates(
@@ -117,7 +134,13 @@
           sender: Name of the peer.
           now: Clock reading.
           is_whole: Whether they were requested with `whole_request`.
+
+        Raises:
+          errors.ViewTooLargeError: The view would take too much memory.
         """
+        self._check_size(
+            updates.routes, self.registry.estimate_updates(updates.upstreams)
+        )
         old_versions = self._versions()
         if updates.routes is not None:
             self._offer_routes(updates.routes, sender)
@@ -134,6 +157,7 @@
             else updates.removals_known_after,
             is_whole,
         )
+        self._drop_tombstones()
         self._notify_if_changed(old_versions)
 
     def updates_after(
@@ -159,6 +183,29 @@
             self.registry.removals_known_after,
         )
 
+    def _check_size(
+        self, route_set: serving.RouteSet | None, upstream_bytes: int
+    ) -> None:
+        if route_set is None or route_set.version <= self.routes.version:
+            route_bytes = self._route_bytes()
+        else:
+            route_bytes = routes.estimate_bytes(route_set)
+        kept_bytes = route_bytes + upstream_bytes
+        if kept_bytes > self._max_bytes:
+            raise errors.ViewTooLargeError(
+                f"routes and searchers take about {kept_bytes} bytes of memory,"
+                f" of which {route_bytes} are for routes; at most"
+                f" {self._max_bytes} are allowed, and the view stays as it is:"
+                " raise `memory_mb`"
+            )
+
+    def _route_bytes(self) -> int:
+        table = self.routes.table
+        return 0 if table is None else table.kept_bytes
+
+    def _drop_tombstones(self) -> None:
+        self.registry.drop_tombstones(self._max_bytes - self._route_bytes())
+
     def _offer_routes(self, route_set: serving.RouteSet, source: str) -> None:
         if self.routes.offer(route_set):
             self._on_event(
--- a/citrondoor/errors.py
+++ b/citrondoor/errors.py
@@ -42,6 +42,10 @@
     """The configuration service, VM list or store gave no valid response."""
 
 
+class ViewTooLargeError(PlatformError):
+    """Routes and searchers would take more memory than they may."""
+
+
 class InvariantError(CitrondoorError):
     """It would be unsafe to continue.
 
--- a/citrondoor/limits/__init__.py
+++ b/citrondoor/limits/__init__.py
@@ -13,6 +13,7 @@
 from citrondoor.limits._memory_account import Holder
 from citrondoor.limits._memory_account import MemoryAccount
 from citrondoor.limits._memory_account import kept_limit_bytes
+from citrondoor.limits._memory_account import view_limit_bytes
 from citrondoor.limits._rates import STARTUP_LEASE_WAIT_MS
 from citrondoor.limits._rates import CustomerRateLimiter
 from citrondoor.limits._rates import RateLimiterTable
@@ -50,4 +51,5 @@
     "WarmupLimiter",
     "assign_owners",
     "kept_limit_bytes",
+    "view_limit_bytes",
 ]
--- a/citrondoor/limits/_memory_account.py
+++ b/citrondoor/limits/_memory_account.py
@@ -13,6 +13,8 @@
 # Part of the VM's memory for what messages keep. The rest is for the daemon
 # itself and for what the allocator keeps of freed memory.
 KEPT_SHARE = 0.4
+# Part of the VM's memory for the view: routes and searchers.
+VIEW_SHARE = 0.2
 # Parts of the limit. Above the first, the largest messages without an end in
 # sight give way; above the second, new requests are refused. At the limit, the
 # largest message that is not complete gives way.
@@ -27,6 +29,11 @@
     return int(kept_mb * BYTES_PER_MB)
 
 
+def view_limit_bytes(settings: serving.EntrySettings) -> int:
+    """Returns the limit on what routes and searchers keep, in bytes."""
+    return int(settings.memory_mb * VIEW_SHARE * BYTES_PER_MB)
+
+
 class Holder:
     """The messages of one connection, or of one queue, in a `MemoryAccount`.
 
--- a/citrondoor/platform/_store.py
+++ b/citrondoor/platform/_store.py
@@ -10,6 +10,7 @@
 from citrondoor import entry
 from citrondoor import limits
 from citrondoor import links
+from citrondoor import routes as routing
 from citrondoor.codecs import bounded_json
 from citrondoor.schema import serving
 
@@ -170,15 +171,24 @@
             )
             reading.kept_bytes += _ITEM_BYTES + len(key)
         elif key == _CONFIG_KEY:
-            contents.routes = self._decode_routes(item)
+            contents.routes = self._decode_routes(item, reading)
 
-    def _decode_routes(self, item: dict) -> serving.RouteSet | None:
-        """Returns the item's routes, or the newest ones if it is unreadable."""
+    def _decode_routes(
+        self, item: dict, reading: "_Reading"
+    ) -> serving.RouteSet | None:
+        """Returns the item's routes, or the newest ones if it is unreadable.
+
+        Those that take more memory than the read has left are unreadable.
+        """
         revision, routes = self._newest_routes
         if item["rev"] == revision:
             return routes
         try:
-            decoded = decode_routes(_decode_value(item))
+            room = max(0, reading.max_bytes - reading.kept_bytes)
+            decoded = decode_routes(
+                _decode_value(item, min(_MAX_DECODED_BYTES, room))
+            )
+            reading.kept_bytes += routing.estimate_bytes(decoded)
         except (KeyError, TypeError, ValueError) as error:
             self._report_unreadable(item, error)
             return routes
@@ -239,10 +249,10 @@
         self.has_given_way = True
 
 
-def _decode_value(item: dict) -> dict:
+def _decode_value(item: dict, max_bytes: int = _MAX_DECODED_BYTES) -> dict:
     try:
         value = bounded_json.decode(
-            base64.b64decode(item["value"], validate=True), _MAX_DECODED_BYTES
+            base64.b64decode(item["value"], validate=True), max_bytes
         )
     except ValueError as error:
         raise ValueError(
--- a/citrondoor/routes/__init__.py
+++ b/citrondoor/routes/__init__.py
@@ -2,6 +2,7 @@
 
 from citrondoor.routes._current import CurrentRoutes
 from citrondoor.routes._table import RouteTable
+from citrondoor.routes._table import estimate_bytes
 from citrondoor.routes._targets import ResolvedRoute
 from citrondoor.routes._targets import ScatterTarget
 from citrondoor.routes._targets import WeightedTarget
@@ -14,4 +15,5 @@
     "ScatterTarget",
     "WeightedTarget",
     "choose_backends",
+    "estimate_bytes",
 ]
--- a/citrondoor/routes/_table.py
+++ b/citrondoor/routes/_table.py
@@ -3,18 +3,51 @@
 from citrondoor.routes import _targets
 from citrondoor.schema import serving
 
+# Estimated memory of a route, and of a back end or the name of one, besides
+# their texts; a route table keeps the names once more.
+_ROUTE_BYTES = 1536
+_BACKEND_BYTES = 256
+
+
+def estimate_bytes(route_set: serving.RouteSet) -> int:
+    """Returns the memory that the table of a version takes, in bytes."""
+    kept_bytes = sum(_BACKEND_BYTES + len(b.name) for b in route_set.backends)
+    for route in route_set.routes:
+        names = [*route.shards, *(b.backend for b in route.backends)]
+        kept_bytes += (
+            _ROUTE_BYTES
+            + 2 * len(route.host)
+            + len(route.name)
+            + len(route.prefix)
+            + sum(_BACKEND_BYTES + len(name) for name in names)
+            + sum(_BACKEND_BYTES + len(r) for r in route.regions)
+        )
+    return kept_bytes
+
 
 class RouteTable:
     """The routes of one version of the configuration, indexed by prefix.
 
     Args:
       route_set: All routes, back ends and limits of the version.
+
+    Attributes:
+      kept_bytes: Estimate of the memory that the table takes.
+      route_set: As above.
+      shard_backends: Back ends that are shards of some route.
     """
 
-    __slots__ = ("_backends", "_routes_by_host", "route_set", "shard_backends")
+    __slots__ = (
+        "_backends",
+        "_routes_by_host",
+        "kept_bytes",
+        "route_set",
+        "shard_backends",
+    )
 
     def __init__(self, route_set: serving.RouteSet):
         self.route_set = route_set
+        self.kept_bytes = estimate_bytes(route_set)
         self._routes_by_host: dict[str, dict[str, _targets.ResolvedRoute]] = {}
         self._backends = {
             backend.name: backend for backend in route_set.backends
--- a/tests/entry/test_store_poller.py
+++ b/tests/entry/test_store_poller.py
@@ -43,11 +43,11 @@
     )
 
 
-def read_all(results):
+def read_all(results, view=None):
     """Returns the log after as many reads as there are results."""
     log = test_dispatcher.FakeLog()
     poller = entry.StorePoller(
-        entry.LocalView(lambda kind, detail: None, {}),
+        view or entry.LocalView(lambda kind, detail: None, {}),
         FakeStore(list(results)),
         FakePeerNetwork(),
         test_dispatcher.SETTINGS,
@@ -128,3 +128,19 @@
     )
     assert asyncio.run(poller._read())
     assert peers.read_at == 1000
+
+
+def test_a_view_that_takes_too_much_memory_is_refused_and_the_old_one_stays():
+    # What the store lists was kept whatever its size.
+    view = entry.LocalView(lambda kind, detail: None, {}, 100_000)
+    few = [samples.upstream(f"i-{n}") for n in range(20)]
+    many = [samples.upstream(f"i-{n}") for n in range(200)]
+    log = read_all([make_contents(1, *few), make_contents(2, *many)], view)
+    assert len(view.registry.all_usable_upstreams()) == 20
+    assert view.registry.revision == 1
+    ((event, fields),) = log.lines
+    assert event == "store_lost"
+    assert "raise `memory_mb`" in fields["reason"]
+    log = read_all([make_contents(3, *few[:10])], view)
+    assert len(view.registry.all_usable_upstreams()) == 10
+    assert not log.lines
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -409,13 +409,14 @@
     def report(key, revision, reason):
         reasons.append(reason)
 
+    account = limits.MemoryAccount()
     client = _store.StoreClient(
-        serving.StoreSettings("127.0.0.1:1"), report, limits.MemoryAccount(1000)
+        serving.StoreSettings("127.0.0.1:1"), report, account
     )
     text = orjson.dumps(value).replace(b'"DEEP"', DEEP)
     entry = item("op/config", {}, 3)
     entry["value"] = base64.b64encode(text).decode()
-    assert client._decode_routes(entry) is None
+    assert client._decode_routes(entry, _store._Reading(account)) is None
     assert len(reasons) == 1
     assert len(reasons[0]) < 300
 
@@ -464,3 +465,28 @@
         return kinds
 
     assert asyncio.run(body()) == []
+
+
+def test_a_configuration_over_the_memory_of_a_read_leaves_the_last_one():
+    # Up to 33 MB were decoded on no account.
+    reasons = []
+
+    def report(key, revision, reason):
+        reasons.append(reason)
+
+    client = _store.StoreClient(
+        serving.StoreSettings("127.0.0.1:1"),
+        report,
+        limits.MemoryAccount(60_000),
+    )
+    reading = _store._Reading(client._account)
+    small = CONFIG | {"version": 3, "routes": [], "services": []}
+    routes = client._decode_routes(item("op/config", small, 3), reading)
+    assert routes.version == 3
+    services = [{"name": f"service-{n}"} for n in range(300)]
+    large = small | {"version": 4, "services": services}
+    for _ in range(2):
+        kept = client._decode_routes(item("op/config", large, 4), reading)
+        assert kept is routes
+    assert len(reasons) == 1
+    assert "are allowed" in reasons[0]
