Discard what is kept of routes, back ends and cold searchers that are gone

Operators would see: memory that grows with each configuration that names new routes or back ends, and with each searcher that was cold.

Cause: latencies and waits by route, windows of hedges and retries by back end, and warm-up buckets by searcher were kept for good (the buckets until the members changed).

Evidence: the test failed before, with 30 versions of new names; objects reachable from the dispatcher after the 30th and after the fifth: test_what_is_kept_does_not_grow_with_routes_and_searchers_that_are_gone assert 1371 <= (294 + 8)

A change of the view discards them, as it does the states of searchers. The window of a back end stays until all its counts are out of it, so that a route that comes back does not earn hedges and retries twice.

--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -234,10 +234,22 @@
         )
 
     def on_view_changed(self) -> None:
-        """Discards the state kept for searchers that are no longer usable."""
+        """Discards the state of what is no longer in the view.
+
+        These are searchers that are not usable, and routes and back ends that
+        the routes in force do not have.
+        """
+        now = self._clock.now()
         usable_ids = {u.id for u in self._view.registry.all_usable_upstreams()}
-        self._replicas.retain_only(usable_ids, self._clock.now())
+        self._replicas.retain_only(usable_ids, now)
         self._stated_rates.retain_only(usable_ids)
+        self._warmup_rate.retain_only(usable_ids)
+        table = self._view.routes.table
+        if table is not None:
+            route_names = {route.name for route in table.route_set.routes}
+            self._latencies.retain_only(route_names)
+            self._elapsed_estimator.retain_only(route_names)
+            self._hedge_retry_limiter.retain_only(table.routed_backends, now)
 
     def set_report_listener(
         self,
--- a/citrondoor/fanout/_budget.py
+++ b/citrondoor/fanout/_budget.py
@@ -102,6 +102,13 @@
         """Sets the number of daemons that share the slack."""
         self._member_count = max(1, count)
 
+    def retain_only(self, backends: set[str], now: int) -> None:
+        """Discards the windows of all other back ends, once they are over."""
+        oldest_slice = now // self._slice_ms - SLICES
+        for backend in self._windows.keys() - backends:
+            if self._windows[backend].slice_number < oldest_slice:
+                del self._windows[backend]
+
     def record_request(
         self, backend: str, now: int, is_saturated: bool = True
     ) -> None:
--- a/citrondoor/fanout/_elapsed.py
+++ b/citrondoor/fanout/_elapsed.py
@@ -39,6 +39,11 @@
     def __init__(self):
         self._routes: dict[str, _LongestWait] = {}
 
+    def retain_only(self, route_names: set[str]) -> None:
+        """Discards the waits on all other routes."""
+        for name in self._routes.keys() - route_names:
+            del self._routes[name]
+
     def estimate_elapsed_ms(
         self, route_name: str, wait_ms: int | None, target_ms: int, now: int
     ) -> int:
--- a/citrondoor/fanout/_latency.py
+++ b/citrondoor/fanout/_latency.py
@@ -74,6 +74,12 @@
         self._histograms: dict[str, routing.LatencyHistogram] = {}
         self._detectors: dict[str, _SaturationDetector] = {}
 
+    def retain_only(self, route_names: set[str]) -> None:
+        """Discards the latencies of all other routes."""
+        for name in self._histograms.keys() - route_names:
+            del self._histograms[name]
+            del self._detectors[name]
+
     def observe(self, route_name: str, latency_ms: float) -> None:
         """Adds the latency of one sub-request."""
         histogram = self._histograms.get(route_name)
--- a/citrondoor/fanout/_warmup_rate.py
+++ b/citrondoor/fanout/_warmup_rate.py
@@ -45,6 +45,11 @@
             self._live_vms = tuple(live_vms)
             self._buckets.clear()
 
+    def retain_only(self, upstream_ids: set[str]) -> None:
+        """Discards the buckets of all other searchers."""
+        for upstream_id in self._buckets.keys() - upstream_ids:
+            del self._buckets[upstream_id]
+
     def try_acquire(
         self, upstream_id: str, rate_per_s: float, now: int
     ) -> bool:
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -883,3 +883,52 @@
     with garbage.left_behind() as kinds:
         harness.serve(make_request(), disconnect_after_s)
     assert kinds == []
+
+
+class ShiftedClock(clocks.Clock):
+    """A clock that a test can set forward by `ahead_ms`."""
+
+    def __init__(self):
+        super().__init__()
+        self.ahead_ms = 0
+
+    def now(self):
+        return super().now() + self.ahead_ms
+
+
+def test_what_is_kept_does_not_grow_with_routes_and_searchers_that_are_gone():
+    def respond(upstream, outbound):
+        return 0.0, answered(upstream, records(1))
+
+    harness = Harness(respond, [SCATTER_ROUTE], REPLICAS)
+    dispatcher = harness.dispatcher
+    clock = dispatcher._clock = ShiftedClock()
+    harness.view.subscribe(dispatcher.on_view_changed)
+    others = (harness.view, harness.pool, harness.log, harness.account, clock)
+    counts = []
+    for version in range(2, 32):
+        shards = [f"{shard}-{version}" for shard in SHARDS]
+        route = samples.scatter_route(shards, name=f"route-{version}")
+        backends = [
+            serving.RouteBackend(shard, "", 16, 50_000, 1000.0)
+            for shard in shards
+        ]
+        upstreams = [
+            samples.upstream(f"{shard}-0", shard, warm_in_ms=50_000)
+            for shard in shards
+        ]
+        route_set = samples.route_set(version, [route], backends)
+        harness.view.apply_store_contents(
+            entry.StoreContents(version, route_set, upstreams, []), clock.now()
+        )
+        request = make_request()
+        request.arrived_at = clock.now()
+        assert harness.serve(request).missing_count == 0
+        clock.ahead_ms += 300_000
+        kept = [
+            getattr(dispatcher, name)
+            for name in type(dispatcher).__slots__
+            if name not in ("_relay", "_on_news")
+        ]
+        counts.append(garbage.count_reachable(kept, others))
+    assert counts[-1] <= counts[4] + 8
--- a/tests/garbage.py
+++ b/tests/garbage.py
@@ -1,7 +1,10 @@
-"""Finds objects that only a garbage collection frees."""
+"""Finds objects that stay: in reference cycles, or reachable for good."""
 
 import contextlib
 import gc
+import types
+
+_SHARED = (type, types.ModuleType, types.FunctionType)
 
 
 @contextlib.contextmanager
@@ -24,3 +27,18 @@
         gc.set_debug(0)
         gc.garbage.clear()
         gc.enable()
+
+
+def count_reachable(roots, excluded=()) -> int:
+    """Returns how many objects are reachable, without types and modules."""
+    seen = {id(thing) for thing in excluded}
+    pending = list(roots)
+    count = 0
+    while pending:
+        thing = pending.pop()
+        if id(thing) in seen or isinstance(thing, _SHARED):
+            continue
+        seen.add(id(thing))
+        count += 1
+        pending += gc.get_referents(thing)
+    return count
