Free a link to a peer when it is given up

Operators would see: memory that grows with the links that are given up, as members come and go, until a garbage collection.

Cause: a link keeps its task, which keeps its cancellation with the frames that refer to the link.

Evidence: the tests failed before, whether or not the connection was lost first: test_a_link_that_is_given_up_is_not_left_for_a_garbage_collection[False] AssertionError: assert 'citrondoor.links._peers.PeerLink' not in ['citrondoor.codecs.peers.FrameAuthenticator', ...]

A closed link drops its task. The accepting side of a link still leaves a cycle of asyncio's task group, with its channel.

--- a/citrondoor/links/_peers.py
+++ b/citrondoor/links/_peers.py
@@ -424,6 +424,8 @@
         """Stops the link's task, which closes the connection."""
         if self._task is not None:
             self._task.cancel()
+            # It keeps the cancellation, whose frames refer to this link.
+            self._task = None
 
     async def wait_connected(self) -> None:
         """Waits until the link is up.
--- a/tests/links/test_peers.py
+++ b/tests/links/test_peers.py
@@ -13,6 +13,7 @@
 from citrondoor.links import _peers
 from citrondoor.schema import messages
 from citrondoor.schema import serving
+from tests import garbage
 
 KEY = b"k" * 16
 
@@ -719,3 +720,37 @@
         link.close()
 
     run(scenario, make_settings("vm-1", KEY, 2**25), handle)
+
+
+@pytest.mark.parametrize("loses_connection", [False, True])
+def test_a_link_that_is_given_up_is_not_left_for_a_garbage_collection(
+    loses_connection,
+):
+    async def scenario(pair):
+        with garbage.left_behind() as kinds:
+            link = pair.dial()
+            await pair.link_up.wait()
+            await link.request(make_advert(1))
+            if loses_connection:
+                pair.server._channels["vm-0"].writer.transport.abort()
+                await asyncio.sleep(0.02)
+            link.close()
+            del link
+            await asyncio.sleep(0.05)
+        assert "citrondoor.links._peers.PeerLink" not in kinds
+
+    run(scenario)
+
+
+def test_a_refused_request_leaves_nothing_for_a_garbage_collection():
+    async def scenario(pair):
+        link = pair.dial()
+        await pair.link_up.wait()
+        with garbage.left_behind() as kinds:
+            with pytest.raises(errors.PeerRefusedError):
+                await link.request(messages.Body())
+            await asyncio.sleep(0.01)
+        assert kinds == []
+        link.close()
+
+    run(scenario)
