citrondoord: one account of what callers and peers keep in memory

Bodies of requests are now in the account that the entry daemon has, from the first part until the request has ended, and so are the frames of peers. What gives way is refused as not run (503, Retry-After), and so is a new request while memory is short. memory_mb is a new setting, 1024 by default; metrics show what is kept and what gave way. Responses of searchers keep their own limit, response_memory_mb; what uvicorn buffers of a body before it is read, up to 64 KB a connection, is on no account.

--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -63,6 +63,7 @@
     """
 
     __slots__ = (
+        "_account",
         "_admission",
         "_api_server",
         "_clock",
@@ -118,6 +119,7 @@
         )
         self._stop_signal_count = 0
         self._listeners = links.Listeners(clock, self._log.info)
+        self._account = limits.MemoryAccount(limits.kept_limit_bytes(settings))
         self._build_view()
         self._build_peering(connector)
         self._build_limits()
@@ -197,6 +199,7 @@
             bytes.fromhex(settings.peers.key),
             settings.peers.max_frame_bytes,
             settings.peers.request_timeout_ms,
+            self._account,
         )
         self._peering = engine.Peering(
             self._view,
@@ -310,6 +313,7 @@
             self._warmup,
             self._admission,
             bound,
+            self._account,
         )
         for counter in counters:
             add_metric = (
@@ -333,6 +337,7 @@
             self._clock,
             settings.callers,
             settings.operator_key_digest,
+            self._account,
         )
         self._api_server = front.ApiServer(
             front.make_app(handlers),
--- a/citrondoor/daemon/_counters.py
+++ b/citrondoor/daemon/_counters.py
@@ -43,6 +43,7 @@
     warmup: limits.WarmupLimiter,
     admission: engine.Admission,
     bound: limits.ConnectionBound,
+    account: limits.MemoryAccount,
 ) -> list[Counter]:
     """Returns all counters and gauges of a daemon."""
     queries = search_engine.counters
@@ -157,6 +158,17 @@
             lambda: synchronizer.store.pending_count,
             is_gauge=True,
         ),
+        Counter(
+            "memory.kept",
+            "Bytes that messages of callers and peers keep.",
+            lambda: account.kept_bytes,
+            is_gauge=True,
+        ),
+        Counter(
+            "memory.gave_way",
+            "Times that messages were dropped for want of memory.",
+            lambda: sum(account.gave_way_counts.values()),
+        ),
         Counter(
             "connections.refused",
             "Connections whose request was refused for want of descriptors.",
--- a/citrondoor/front/_app.py
+++ b/citrondoor/front/_app.py
@@ -15,16 +15,60 @@
 
 from citrondoor import clock as clocks
 from citrondoor import engine
+from citrondoor import limits
 from citrondoor import refusals
 from citrondoor import telemetry
 from citrondoor.codecs import callers as codec
 from citrondoor.front import _status
 from citrondoor.schema import messages
+from citrondoor.schema import serving
 from citrondoor.schema import settings as schema_settings
 
 _JSON = "application/json"
 _MONTH_PATTERN = re.compile(r"[0-9]{4}-(0[1-9]|1[0-2])")
 _BEARER = "bearer "
+# Estimate of what a request or a part of its body keeps beside its bytes.
+_OBJECT_BYTES = 128
+
+
+class _Body:
+    """The body of one request, in the account until the request has ended.
+
+    Args:
+      account: Where its memory is recorded.
+      is_endless: Whether its length is not declared.
+    """
+
+    __slots__ = ("_chunks", "_holder", "_is_endless", "has_given_way", "size")
+
+    def __init__(self, account: limits.MemoryAccount, is_endless: bool):
+        self._holder = account.open(serving.Sender.CALLER, self._give_way)
+        self._is_endless = is_endless
+        self._chunks: list[bytes] = []
+        self.has_given_way = False
+        self.size = 0
+
+    def add(self, chunk: bytes) -> None:
+        """Adds a part; the account may make this body give way."""
+        self._chunks.append(chunk)
+        self.size += len(chunk)
+        kept_bytes = self.size + _OBJECT_BYTES * len(self._chunks)
+        self._holder.record(kept_bytes, self._is_endless)
+
+    def join(self) -> bytes:
+        """Returns the complete body, which is in use from now on."""
+        body = b"".join(self._chunks)
+        self._chunks.clear()
+        self._holder.record(self.size + _OBJECT_BYTES, is_complete=True)
+        return body
+
+    def close(self) -> None:
+        """Removes the body from the account."""
+        self._holder.release()
+
+    def _give_way(self) -> None:
+        self.has_given_way = True
+        self._chunks.clear()
 
 
 class ApiHandlers:
@@ -40,9 +84,11 @@
       clock: Clock of the daemon.
       settings: Size and time limits for callers' requests.
       operator_key_digest: SHA-256 of the operators' key, in hexadecimal.
+      account: Where the memory of requests is recorded.
     """
 
     __slots__ = (
+        "_account",
         "_clock",
         "_metrics",
         "_operator_key_digest",
@@ -59,7 +105,9 @@
         clock: clocks.Clock,
         settings: schema_settings.CallerSettings,
         operator_key_digest: str,
+        account: limits.MemoryAccount,
     ):
+        self._account = account
         self._service = service
         self._status = status
         self._metrics = metrics
@@ -69,8 +117,24 @@
 
     async def search(self, request: requests.Request) -> responses.Response:
         """Handles POST /v1/search; cancels the search on disconnect."""
+        with self._receive(request) as body:
+            return await self._search(request, body)
+
+    async def run(self, request: requests.Request) -> responses.Response:
+        """Handles POST /v1/run.
+
+        Unlike a search, a run is not cancelled when the caller disconnects.
+        """
+        with self._receive(request) as body:
+            return await self._run(request, body)
+
+    async def _search(
+        self, request: requests.Request, body: _Body
+    ) -> responses.Response:
         arrived_at = self._clock.now()
-        decoded = await self._decode(request, arrived_at, codec.decode_search)
+        decoded = await self._decode(
+            request, body, arrived_at, codec.decode_search
+        )
         if decoded.is_err():
             return _refusal_response(decoded.unwrap_err())
         message = decoded.unwrap()
@@ -82,13 +146,13 @@
             return _refusal_response(outcome.unwrap_err())
         return _json_response(codec.encode_search_answer(outcome.unwrap()))
 
-    async def run(self, request: requests.Request) -> responses.Response:
-        """Handles POST /v1/run.
-
-        Unlike a search, a run is not cancelled when the caller disconnects.
-        """
+    async def _run(
+        self, request: requests.Request, body: _Body
+    ) -> responses.Response:
         arrived_at = self._clock.now()
-        decoded = await self._decode(request, arrived_at, codec.decode_run)
+        decoded = await self._decode(
+            request, body, arrived_at, codec.decode_run
+        )
         if decoded.is_err():
             return _refusal_response(decoded.unwrap_err())
         message = decoded.unwrap()
@@ -174,35 +238,40 @@
             return responses.PlainTextResponse("ready")
         return responses.PlainTextResponse(self._status.state(), 503)
 
+    def _receive(self, request: requests.Request) -> contextlib.closing[_Body]:
+        is_endless = "content-length" not in request.headers
+        return contextlib.closing(_Body(self._account, is_endless))
+
     async def _decode(
-        self, request: requests.Request, arrived_at: int, decode
+        self, request: requests.Request, body: _Body, arrived_at: int, decode
     ) -> result.Result[object, messages.Refusal]:
-        body = await self._read_body(request)
-        if body.is_err():
-            return body
-        return decode(body.unwrap(), arrived_at, self._settings)
+        if self._account.is_short:
+            return result.Err(refusals.short_of_memory())
+        refusal = await self._read_body(request, body)
+        if refusal is not None:
+            return result.Err(refusal)
+        return decode(body.join(), arrived_at, self._settings)
 
     async def _read_body(
-        self, request: requests.Request
-    ) -> result.Result[bytes, messages.Refusal]:
+        self, request: requests.Request, body: _Body
+    ) -> messages.Refusal | None:
+        """Reads the whole body; returns the refusal of one that is not."""
         max_bytes = self._settings.max_body_bytes
-        chunks: list[bytes] = []
-        body_bytes = 0
         timeout_s = self._settings.body_timeout_ms / clocks.MS_PER_S
         try:
             async with asyncio.timeout(timeout_s):
                 async for chunk in request.stream():
-                    body_bytes += len(chunk)
-                    if body_bytes > max_bytes:
-                        return result.Err(refusals.too_large(max_bytes))
-                    chunks.append(chunk)
+                    if body.size + len(chunk) > max_bytes:
+                        return refusals.too_large(max_bytes)
+                    if not body.has_given_way:
+                        body.add(chunk)
+                    if body.has_given_way:
+                        return refusals.short_of_memory()
         except TimeoutError:
-            return result.Err(refusals.too_slow(self._settings.body_timeout_ms))
+            return refusals.too_slow(self._settings.body_timeout_ms)
         except requests.ClientDisconnect:
-            return result.Err(
-                refusals.malformed("the caller left", "send the whole body")
-            )
-        return result.Ok(b"".join(chunks))
+            return refusals.malformed("the caller left", "send the whole body")
+        return None
 
     def _is_operator(self, request: requests.Request) -> bool:
         digest = hashlib.sha256(_key_of(request).encode()).hexdigest()
--- a/citrondoor/limits/_memory_account.py
+++ b/citrondoor/limits/_memory_account.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from citrondoor.schema import serving
+from citrondoor.schema import settings as schema_settings
 
 # Part of the VM's memory for what messages keep. The rest is for the daemon
 # itself and for what the allocator keeps of freed memory.
@@ -23,7 +24,9 @@
 BYTES_PER_MB = 1_000_000
 
 
-def kept_limit_bytes(settings: serving.EntrySettings) -> int:
+def kept_limit_bytes(
+    settings: serving.EntrySettings | schema_settings.DaemonSettings,
+) -> int:
     """Returns the limit on what messages keep, in bytes."""
     kept_mb = settings.kept_mb or settings.memory_mb * KEPT_SHARE
     return int(kept_mb * BYTES_PER_MB)
--- a/schema/settings.thrift
+++ b/schema/settings.thrift
@@ -65,6 +65,11 @@
   12: i32 confirm_timeout_ms = 2000
   // SHA-256 of the operators' key, as 64 hexadecimal digits.
   13: required string operator_key_digest
+  // Memory in MB over which the process would be ended.
+  14: double memory_mb = 1024
+  // Limit in MB on what the messages of callers and peers keep in memory; 0
+  // derives it from `memory_mb`.
+  15: double kept_mb = 0
 }
 
 const map<string, declarations.Range> RANGES = {
@@ -92,6 +97,8 @@
   "UpstreamSettings.hedge_budget_share": {"low": 0, "high": 0.05},
   "UpstreamSettings.max_queue": {"low": 1, "high": 100000},
   "UpstreamSettings.cold_idle_ms": {"low": 1000, "high": 3600000},
+  "DaemonSettings.memory_mb": {"low": 32, "high": 1048576},
+  "DaemonSettings.kept_mb": {"low": 0, "high": 1048576},
   "DaemonSettings.http_port": {"low": 1, "high": 65535},
   "DaemonSettings.peer_port": {"low": 1, "high": 65535},
   "DaemonSettings.pause_ms": {"low": 100, "high": 60000},
--- a/tests/front/test_app.py
+++ b/tests/front/test_app.py
@@ -24,7 +24,7 @@
 class ServedApi:
     """An API server on a TCP port, for a daemon of an in-process cluster."""
 
-    def __init__(self, settings=SETTINGS, bound=None):
+    def __init__(self, settings=SETTINGS, bound=None, account=None):
         self.cluster = fakes.FakeCluster()
         daemon = self.cluster.daemons["vm-0"]
         status = front.StatusReporter(
@@ -37,6 +37,7 @@
             self.cluster.clock,
             settings,
             hashlib.sha256(OPERATOR_KEY.encode()).hexdigest(),
+            account or limits.MemoryAccount(),
         )
         self.server = front.ApiServer(
             front.make_app(handlers), settings, bound, front.turn_away
@@ -72,9 +73,9 @@
     return orjson.dumps({**content, **changes})
 
 
-def run_scenario(scenario, settings=SETTINGS, bound=None):
+def run_scenario(scenario, settings=SETTINGS, bound=None, account=None):
     async def run_with_server():
-        api = ServedApi(settings, bound)
+        api = ServedApi(settings, bound, account)
         await api.start()
         try:
             await scenario(api)
@@ -246,3 +247,53 @@
 
     settings = schema_settings.CallerSettings(max_body_bytes=2000)
     run_scenario(scenario, settings, bound)
+
+
+def test_bodies_that_many_callers_hold_stay_within_the_account():
+    # FAULT: each was within its own limit, and nobody added them up.
+    account = limits.MemoryAccount(40_000)
+    settings = schema_settings.CallerSettings(max_body_bytes=2000)
+
+    async def scenario(api):
+        partial = make_post("/v1/search", b"x" * 1500, length=1600)
+        connections = []
+        for _ in range(60):
+            connections.append(
+                await asyncio.open_connection("127.0.0.1", api.port)
+            )
+            connections[-1][1].write(partial)
+        async with asyncio.timeout(2):
+            while not account.kept_bytes:
+                await asyncio.sleep(0.01)
+        await asyncio.sleep(0.2)
+        assert account.peak_bytes < 45_000
+        status, content = await api.exchange(
+            make_post("/v1/search", search_body())
+        )
+        assert (status, content["refused"]) == (503, "overloaded")
+        assert content["ran"] == "no"
+        for _, writer in connections:
+            writer.close()
+        async with asyncio.timeout(2):
+            while account.kept_bytes:
+                await asyncio.sleep(0.01)
+        status, _ = await api.exchange(make_post("/v1/search", search_body()))
+        assert status == 200
+        assert account.kept_bytes == 0
+
+    run_scenario(scenario, settings, None, account)
+
+
+def test_a_body_that_gives_way_is_refused_as_not_run():
+    account = limits.MemoryAccount(2000)
+    settings = schema_settings.CallerSettings(max_body_bytes=2000)
+
+    async def scenario(api):
+        status, content = await api.exchange(
+            make_post("/v1/search", b"x" * 1999)
+        )
+        assert (status, content["refused"]) == (503, "overloaded")
+        assert content["ran"] == "no"
+        assert account.kept_bytes == 0
+
+    run_scenario(scenario, settings, None, account)
