Searchers that send tiny chunks wait for the same turns as callers

A read of 32 KB is 5,400 calls of the parser, and every connection was read in every turn of the event loop.

Their reads draw from the budget that callers draw from, and wait for a turn when it is used up; the exchange ends at its deadline as before. A searcher that was wasteful is read 4 KB at a time, on new connections as well, until it sends a proper response. The budget is overdrawn by half a second at most, as a first read may cost far more than is left.

--- a/benchmarks/bench_floods.py
+++ b/benchmarks/bench_floods.py
@@ -26,6 +26,9 @@
 # Until all connections of a flood are open.
 FLOOD_START_S = 1.5
 EXIT_TIMEOUT_S = 30.0
+# Of each caller whose request goes to searchers that flood; it is not shorter
+# if they are refused at once.
+REQUEST_INTERVAL_S = 1.0
 _CALLER_START = b"POST /once/x HTTP/1.1\r\nhost: shop.example\r\n"
 _GARBAGE = bytes(range(256)) * 256
 # What each connection sends first, and what follows without end.
@@ -43,7 +46,15 @@
         b"a",
     ),
 }
-FLOODS = CALLER_FLOODS | SEGMENTS | PEER_FLOODS
+# What the searchers of the back end `one` answer; sound callers use others.
+SEARCHER_FLOODS = {
+    f"searchers: {name}": (b"HTTP/1.1 200 OK\r\n" + head_end, block)
+    for name, (head_end, block) in floods.FRAMINGS.items()
+}
+FLOODS = CALLER_FLOODS | SEGMENTS | PEER_FLOODS | SEARCHER_FLOODS
+_GET_ONCE = (
+    b"GET /once/x HTTP/1.1\r\nhost: shop.example\r\nx-request-id: f%d\r\n\r\n"
+)
 
 
 async def _flood_once(port: int, start: bytes, block: bytes) -> None:
@@ -66,6 +77,55 @@
         await asyncio.sleep(0.05)
 
 
+async def _answer_without_end(name: str, begin, writer) -> None:
+    start, block = FLOODS[name]
+    with contextlib.suppress(OSError):
+        if begin.is_set():
+            writer.write(start)
+        while begin.is_set() and not writer.is_closing():
+            writer.write(block)
+            await writer.drain()
+
+
+async def _request_once(port: int) -> None:
+    """Sends requests to the searchers that flood."""
+    while True:
+        with contextlib.suppress(OSError, EOFError):
+            reader, writer = await asyncio.open_connection(
+                deployments.HOST, port
+            )
+            try:
+                while True:
+                    next_at = time.monotonic() + REQUEST_INTERVAL_S
+                    writer.write(_GET_ONCE % time.monotonic_ns())
+                    await _read(reader)
+                    await asyncio.sleep(next_at - time.monotonic())
+            finally:
+                writer.transport.abort()
+        await asyncio.sleep(0.05)
+
+
+def _run_searchers(
+    port: int, name: str, count: int, searcher_port: int, begin
+) -> None:
+    """Floods as a searcher that gets requests of `count` callers.
+
+    Until the event `begin` it answers nothing: what these requests cost by
+    themselves is not the flood's.
+    """
+
+    async def run():
+        server = await asyncio.start_server(
+            lambda _, writer: _answer_without_end(name, begin, writer),
+            deployments.HOST,
+            searcher_port,
+        )
+        async with server:
+            await asyncio.gather(*(_request_once(port) for _ in range(count)))
+
+    asyncio.run(run())
+
+
 def _run_flood(port: int, name: str, count: int) -> None:
     """Floods with `count` connections; the target of a process of its own."""
 
@@ -160,6 +220,15 @@
     return time.monotonic() - began_at
 
 
+def _move_searchers(deployment: deployments.Deployment, port: int) -> None:
+    address = {"address": f"{deployments.HOST}:{port}"}
+    for searcher in deployment.searchers:
+        if searcher.service == "one":
+            deployment.store.put(
+                f"servers/{searcher.id}", searcher.registration() | address
+            )
+
+
 async def measure(
     folder: pathlib.Path,
     name: str,
@@ -181,12 +250,22 @@
     ) as deployment:
         daemon = deployment.daemons[0]
         port = daemon.peers if name in PEER_FLOODS else daemon.front
+        context = multiprocessing.get_context("spawn")
+        target, arguments = _run_flood, (port, name, count)
+        begin = context.Event()
+        if name in SEARCHER_FLOODS:
+            (searcher_port,) = deployments.free_ports(1)
+            _move_searchers(deployment, searcher_port)
+            target = _run_searchers
+            arguments += (searcher_port, begin)
+        flood = context.Process(target=target, args=arguments, daemon=True)
+        if name in SEARCHER_FLOODS:
+            flood.start()
         await _measure_callers(daemon.front, warm_up_s)
         alone = await _measure_callers(daemon.front, duration_s)
-        flood = multiprocessing.get_context("spawn").Process(
-            target=_run_flood, args=(port, name, count), daemon=True
-        )
-        flood.start()
+        begin.set()
+        if name not in SEARCHER_FLOODS:
+            flood.start()
         try:
             await asyncio.sleep(FLOOD_START_S)
             beside = await _measure_callers(daemon.front, duration_s)
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -280,6 +280,7 @@
             self._settings.vm,
             self._settings.zone,
             self._account,
+            self._turns,
         )
         self._dispatcher.set_pool(self._pool)
         self._relay = entry.Relay(
--- a/citrondoor/limits/_read_budget.py
+++ b/citrondoor/limits/_read_budget.py
@@ -18,6 +18,9 @@
 # Wasteful work of all connections, about 2% of one processor.
 WASTEFUL_PIECES_PER_S = 20_000
 BURST_PIECES = 2_000
+# The most that can be overdrawn: work that has been done is not repaid by
+# seconds in which no connection has a turn.
+MAX_OVERDRAFT_PIECES = 10_000
 
 
 class MessageEffort:
@@ -72,7 +75,7 @@
     def spend(self, pieces: int, now: int) -> None:
         """Records wasteful work."""
         self._refill(now)
-        self._level -= pieces
+        self._level = max(-MAX_OVERDRAFT_PIECES, self._level - pieces)
         self.wasted_pieces += pieces
 
     def wait_ms(self, now: int) -> int:
--- a/citrondoor/links/_http_pool.py
+++ b/citrondoor/links/_http_pool.py
@@ -5,6 +5,7 @@
 from citrondoor import limits
 from citrondoor.links import _exchanges
 from citrondoor.links import _http_searcher
+from citrondoor.links import _read_turns
 from citrondoor.schema import serving
 
 # Connections that are opened to each searcher of the daemon's own zone before
@@ -29,6 +30,8 @@
       vm: Name of this daemon's VM.
       zone: Its availability zone.
       account: Account of the memory that messages keep.
+      turns: Turns of the connections that send wastefully; None for turns of
+        this pool alone.
     """
 
     __slots__ = (
@@ -43,6 +46,7 @@
         "_on_malformed",
         "_on_unreachable",
         "_shard_backends",
+        "_turns",
         "_unconnectable_count",
         "_vm",
         "_zone",
@@ -58,7 +62,9 @@
         vm: str,
         zone: str,
         account: limits.MemoryAccount,
+        turns: _read_turns.ReadTurns | None = None,
     ):
+        self._turns = turns or _read_turns.ReadTurns(clock)
         self._vm = vm
         self._zone = zone
         self._codec = codec
@@ -208,6 +214,7 @@
             self._on_unreachable,
             self._on_malformed,
             self._account,
+            self._turns,
         )
         self._links[_link_key(upstream)] = link
         return link
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -14,6 +14,7 @@
 from citrondoor.links import _carried_ids
 from citrondoor.links import _exchanges
 from citrondoor.links import _listening
+from citrondoor.links import _read_turns
 from citrondoor.links import _response_memory
 from citrondoor.links import _transports
 from citrondoor.schema import serving
@@ -38,6 +39,8 @@
 # follows within this time. Searchers write a response at once, so that its
 # parts arrive together.
 SPLICE_WAIT_S = 0.05
+# Bytes that are read at a time from a searcher that sends wastefully.
+WASTEFUL_READ_BYTES = 4096
 # Stamps that a connection remembers. A copy of an answer without an id that
 # comes later than as many further answers is not recognised.
 RECENT_STAMPS = 16
@@ -78,23 +81,52 @@
         self.aborts = 0
 
 
+class _ReadSize:
+    """Bytes that are read at a time from one searcher.
+
+    A new connection to a searcher that sent wastefully on an earlier one does
+    not begin with a long read.
+    """
+
+    __slots__ = ("byte_count",)
+
+    def __init__(self):
+        self.byte_count = _response_memory.MAX_READ_BYTES
+
+
 class _Channel(asyncio.Protocol):
     """Parses a searcher's responses and wakes the task that awaits them.
 
     Args:
       account: Account of the memory that messages keep.
+      turns: Turns of the connections that send wastefully.
+      read_size: Of all connections to the searcher.
     """
 
     __slots__ = (
+        "_effort",
         "_error",
+        "_is_waiting",
         "_memory",
+        "_read_size",
         "_reader",
         "_responses",
+        "_turns",
         "_wake_future",
         "transport",
     )
 
-    def __init__(self, account: limits.MemoryAccount):
+    def __init__(
+        self,
+        account: limits.MemoryAccount,
+        turns: _read_turns.ReadTurns,
+        read_size: _ReadSize,
+    ):
+        self._turns = turns
+        self._read_size = read_size
+        self._effort = limits.MessageEffort()
+        # Whether it is not read until its turn comes.
+        self._is_waiting = False
         self._memory = _response_memory.ResponseMemory(account, self._give_way)
         self._reader = http1.ResponseReader()
         self._responses: collections.deque[http1.Response] = collections.deque()
@@ -120,6 +152,7 @@
         """Stores the open transport; called by the event loop."""
         self.transport = transport
         _response_memory.limit_transport(transport)
+        transport.max_size = self._read_size.byte_count
         transport.get_extra_info("socket").setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
         )
@@ -129,12 +162,14 @@
         if self._error is not None:
             return
         try:
-            self._responses.extend(self._reader.feed(data))
+            responses = self._reader.feed(data)
         except http1.ProtocolError as error:
             # A response that was complete before the malformed bytes counts.
             self._responses.extend(self._reader.take_responses())
             self.fail(error)
             return
+        self._responses.extend(responses)
+        self._charge(len(data), bool(responses))
         if len(self._responses) > http1.MAX_RESPONSES_AT_ONCE:
             self.fail(
                 http1.ProtocolError(
@@ -145,6 +180,40 @@
         self._record_kept()
         self.wake()
 
+    def _charge(self, byte_count: int, is_complete: bool) -> None:
+        """Records the cost of a read; after wasteful ones, further ones wait.
+
+        Args:
+          byte_count: Bytes that were read.
+          is_complete: Whether they completed a response.
+        """
+        pieces, self._reader.pieces = self._reader.pieces, 0
+        if is_complete:
+            self._effort.reset()
+            self._set_read_size(_response_memory.MAX_READ_BYTES)
+            return
+        wasteful = self._effort.record(pieces + limits.READ_PIECES, byte_count)
+        if not wasteful:
+            return
+        self._set_read_size(WASTEFUL_READ_BYTES)
+        if not self._turns.spend(wasteful) and not self.transport.is_closing():
+            self._is_waiting = True
+            self.transport.pause_reading()
+            self._turns.wait(self._take_turn)
+
+    def _set_read_size(self, byte_count: int) -> None:
+        self._read_size.byte_count = byte_count
+        self.transport.max_size = byte_count
+
+    def _take_turn(self) -> None:
+        self._is_waiting = False
+        self.transport.resume_reading()
+
+    def _leave_turns(self) -> None:
+        if self._is_waiting:
+            self._is_waiting = False
+            self._turns.leave(self._take_turn)
+
     def write(self, data: bytes) -> None:
         """Sends the bytes of a request."""
         self.transport.write(data)
@@ -166,6 +235,7 @@
             error.status, str(error)
         )
         self._reader.drop()
+        self._leave_turns()
         self.transport.abort()
         self._record_kept()
         self.wake()
@@ -177,6 +247,7 @@
         # Replaces one that was raised, whose frames refer to this object.
         self._error = EOFError("the connection is closed")
         self._responses.clear()
+        self._leave_turns()
         self._reader.drop()
         self._memory.close()
 
@@ -205,6 +276,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the pending `next_response`; called by the event loop."""
         self._error = self._error or exc or EOFError("the connection is closed")
+        self._leave_turns()
         self._reader.drop()
         self._record_kept()
         self.wake()
@@ -269,7 +341,7 @@
 
     def __init__(self, link: "HttpSearcherLink"):
         self._link = link
-        self._channel = _Channel(link.account)
+        self._channel = _Channel(link.account, link.turns, link.read_size)
         self._carried_ids = _carried_ids.CarriedIds()
         self._recent_stamps: collections.deque[bytes] = collections.deque(
             maxlen=RECENT_STAMPS
@@ -401,6 +473,7 @@
       on_malformed: Called with the searcher and the error when a connection is
         closed because of what the searcher sent.
       account: Account of the memory that messages keep.
+      turns: Turns of the connections that send wastefully.
     """
 
     __slots__ = (
@@ -415,6 +488,8 @@
         "_on_unreachable",
         "_queued",
         "account",
+        "read_size",
+        "turns",
         "upstream",
     )
 
@@ -428,8 +503,11 @@
         on_unreachable,
         on_malformed,
         account: limits.MemoryAccount,
+        turns: _read_turns.ReadTurns,
     ):
         self.upstream = upstream
+        self.turns = turns
+        self.read_size = _ReadSize()
         self._max_connections = max_connections
         self._is_in_use = True
         self.account = account
--- a/tests/limits/test_read_budget.py
+++ b/tests/limits/test_read_budget.py
@@ -51,3 +51,9 @@
     wait_ms = budget.wait_ms(0)
     assert budget.wait_ms(wait_ms - 2) > 0
     assert budget.wait_ms(wait_ms) == 0
+
+
+def test_work_that_cost_much_is_not_repaid_by_a_long_wait():
+    budget = limits.ReadBudget(0)
+    budget.spend(1_000_000, 0)
+    assert budget.wait_ms(0) < SECOND_MS
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -1118,3 +1118,59 @@
         return kinds
 
     assert run(behave, body) == []
+
+
+def encode_tiny_chunks(request, count) -> bytes:
+    head = ANSWER_HEAD % request.header_values(b"x-request-id")[0]
+    return head + b"transfer-encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * count
+
+
+def test_tiny_chunks_of_a_searcher_do_not_hold_up_everything_else():
+    async def behave(request, writer):
+        writer.write(encode_tiny_chunks(request, 190_000))
+        await writer.drain()
+
+    async def body(harness):
+        for token in range(13):
+            harness.send(token)
+        loop = asyncio.get_running_loop()
+        late_s = 0.0
+        end_at = loop.time() + 1
+        while loop.time() < end_at:
+            due_at = loop.time() + 0.005
+            await asyncio.sleep(0.005)
+            late_s += loop.time() - due_at
+        return late_s
+
+    assert run(behave, body) < 0.4
+
+
+def test_a_connection_that_sent_tiny_chunks_carries_the_next_request():
+    async def behave(request, writer):
+        writer.write(encode_tiny_chunks(request, 10_000) + b"0\r\n\r\n")
+        await writer.drain()
+
+    async def body(harness):
+        for token in range(3):
+            result = await harness.send(token)
+            assert result.outcome == OUTCOME.ANSWERED
+            assert len(result.response.body) == 10_000
+        return harness.searcher.connections
+
+    assert run(behave, body) == 1
+
+
+def test_a_connection_that_is_closed_while_it_waits_is_not_read_again():
+    async def behave(request, writer):
+        writer.write(encode_tiny_chunks(request, 150_000))
+        await writer.drain()
+
+    async def body(harness):
+        result = harness.send(1)
+        await asyncio.sleep(0.2)
+        harness.pool.close()
+        assert (await result).outcome == OUTCOME.BROKEN
+        await asyncio.sleep(0.5)
+        return harness.malformed
+
+    assert run(behave, body) == []
--- a/tests/links/test_transports.py
+++ b/tests/links/test_transports.py
@@ -34,7 +34,11 @@
 
 
 async def close_searcher_connection(port):
-    channel = _http_searcher._Channel(limits.MemoryAccount())
+    channel = _http_searcher._Channel(
+        limits.MemoryAccount(),
+        links.ReadTurns(clocks.Clock()),
+        _http_searcher._ReadSize(),
+    )
     transport = await connect(channel, port)
     channel.close()
     return weakref.ref(transport)
