The store's tiny chunks wait for the same turns as callers'

The budget for wasteful work was drawn from by callers and searchers only.

Its reads draw from the same budget now.

--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -101,6 +101,7 @@
         settings: serving.StoreSettings,
         on_unreadable,
         account: limits.MemoryAccount,
+        turns: links.ReadTurns,
     ):
         """Returns a client of the platform's store.
 
@@ -109,6 +110,7 @@
           on_unreadable: Called with the key, revision and reason of each value
             that can't be decoded.
           account: Where the memory of reads in progress is recorded.
+          turns: Turns of the connections that send wastefully.
         """
 
     def make_searcher_codec(self, on_unreadable) -> links.SearcherCodec:
@@ -250,7 +252,7 @@
             link_bound=self._bounds["peers"],
         )
         self._store = self._adapter.make_store_client(
-            settings.store, self._on_unreadable, self._account
+            settings.store, self._on_unreadable, self._account, self._turns
         )
         self._poller = entry.StorePoller(
             self._view,
--- a/citrondoor/links/_json_client.py
+++ b/citrondoor/links/_json_client.py
@@ -17,9 +17,14 @@
 from citrondoor.codecs import bounded_json
 from citrondoor.codecs import http1
 from citrondoor.links import _listening
+from citrondoor.links import _read_turns
 from citrondoor.schema import serving
 
 READ_CHUNK_BYTES = 65_536
+# Bytes that are read at a time of a response that comes in tiny parts, and the
+# limit on such a response.
+WASTEFUL_READ_BYTES = 4096
+MAX_WASTEFUL_BYTES = 262_144
 # Limits on a response: bytes received, whatever its framing, and the estimated
 # memory of its decoded body. A page of the store has about 1 MB of items, and a
 # configuration of 1 MB may be one of them.
@@ -36,6 +41,8 @@
       setting: Name of the setting that error messages tell operators to check.
       account: Where the memory of partial responses is recorded; None leaves
         them to the limits of each response.
+      turns: Turns of the connections that send wastefully; None for turns of
+        this client alone.
     """
 
     __slots__ = (
@@ -43,6 +50,7 @@
         "_address",
         "_setting",
         "_timeout_ms",
+        "_turns",
         "read_count",
     )
 
@@ -52,7 +60,9 @@
         timeout_ms: int,
         setting: str,
         account: limits.MemoryAccount | None = None,
+        turns: _read_turns.ReadTurns | None = None,
     ):
+        self._turns = turns or _read_turns.ReadTurns(clocks.Clock())
         self._account = account or limits.MemoryAccount()
         self._address = addresses.split_address(
             urllib.parse.urlsplit(url).netloc
@@ -112,12 +122,14 @@
             ),
         )
         received_bytes = 0
+        read_bytes = READ_CHUNK_BYTES
+        effort = limits.MessageEffort()
         parser = http1.ResponseReader(MAX_RESPONSE_BYTES)
         try:
             host = "{}:{}".format(*self._address).encode()
             headers = [(b"host", host), (b"connection", b"close")]
             writer.write(http1.encode_request(b"GET", target, headers, b""))
-            while data := await reader.read(READ_CHUNK_BYTES):
+            while data := await reader.read(read_bytes):
                 received_bytes += len(data)
                 if received_bytes > MAX_RESPONSE_BYTES:
                     raise http1.ProtocolError(
@@ -126,6 +138,18 @@
                 for response in parser.feed(data):
                     return response
                 holder.record(parser.kept_bytes, parser.is_endless)
+                pieces, parser.pieces = parser.pieces, 0
+                wasteful = effort.record(pieces + limits.READ_PIECES, len(data))
+                if wasteful:
+                    if received_bytes > MAX_WASTEFUL_BYTES:
+                        raise http1.ProtocolError(
+                            502,
+                            f"a response over {MAX_WASTEFUL_BYTES} bytes in"
+                            " tiny parts",
+                        )
+                    read_bytes = WASTEFUL_READ_BYTES
+                    if not self._turns.spend(wasteful):
+                        await self._turns.take_turn()
             response = parser.finish()
             if response is None:
                 raise EOFError("connection closed before a complete response")
--- a/citrondoor/links/_read_turns.py
+++ b/citrondoor/links/_read_turns.py
@@ -63,6 +63,20 @@
         """Does not call a function that waits."""
         self._waiting.pop(take_turn, None)
 
+    async def take_turn(self) -> None:
+        """Waits until a connection that a task reads may go on."""
+        turn = asyncio.get_running_loop().create_future()
+
+        def begin():
+            if not turn.done():
+                turn.set_result(None)
+
+        self.wait(begin)
+        try:
+            await turn
+        finally:
+            self.leave(begin)
+
     def _set_timer(self) -> None:
         if self._timer is None:
             wait_ms = self._budget.wait_ms(self._clock.now())
--- a/citrondoor/platform/_command.py
+++ b/citrondoor/platform/_command.py
@@ -30,9 +30,9 @@
 
     __slots__ = ()
 
-    def make_store_client(self, settings, on_unreadable, account):
+    def make_store_client(self, settings, on_unreadable, account, turns):
         """Returns a client of the platform's store."""
-        return _store.StoreClient(settings, on_unreadable, account)
+        return _store.StoreClient(settings, on_unreadable, account, turns)
 
     def make_searcher_codec(self, on_unreadable):
         """Returns the codec of requests to searchers and their responses."""
--- a/citrondoor/platform/_store.py
+++ b/citrondoor/platform/_store.py
@@ -54,6 +54,8 @@
         cannot be decoded. Each searcher is reported once, the configuration
         once for each revision.
       account: Where the memory of reads in progress is recorded.
+      turns: Turns of the connections that send wastefully; None for turns of
+        this client alone.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         settings: serving.StoreSettings,
         on_unreadable,
         account: limits.MemoryAccount,
+        turns: links.ReadTurns | None = None,
     ):
         self._account = account
         self._client = links.JsonClient(
@@ -76,6 +79,7 @@
             settings.timeout_ms,
             "`store.address`",
             account,
+            turns,
         )
         self._on_unreadable = on_unreadable
         # Revision at which each unreadable key was last reported.
--- a/tests/links/test_json_client.py
+++ b/tests/links/test_json_client.py
@@ -120,3 +120,37 @@
     with garbage.left_behind() as kinds:
         asyncio.run(body())
     assert kinds == []
+
+
+def test_tiny_chunks_of_a_response_do_not_hold_up_everything_else():
+    async def body():
+        loop = asyncio.get_running_loop()
+        late_s = 0.0
+        async with serve(*ENDLESS["tiny chunks"], 10_000) as port:
+            client = make_client(port)
+
+            async def read_forever():
+                while True:
+                    with contextlib.suppress(errors.PlatformError):
+                        await client.get("/")
+
+            task = asyncio.create_task(read_forever())
+            end_at = loop.time() + 1
+            while loop.time() < end_at:
+                due_at = loop.time() + 0.005
+                await asyncio.sleep(0.005)
+                late_s += loop.time() - due_at
+            task.cancel()
+            await asyncio.wait((task,))
+        return late_s
+
+    assert asyncio.run(body()) < 0.4
+
+
+def test_a_response_of_few_tiny_chunks_is_read_whole():
+    async def body():
+        following = b"1\r\n \r\n" * 8000 + b"2\r\n{}\r\n0\r\n\r\n"
+        async with serve(CHUNKED, following, 1) as port:
+            return await make_client(port).get("/")
+
+    assert asyncio.run(body()) == {}
