Take the accounting of reads off the path of sound requests

The read is charged with the first part that completes no request, and reading is resumed only where it may have been paused.

--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -167,19 +167,12 @@
                 self._wait_turn()
             return
         self._unparsed = self._unparsed + data if self._unparsed else data
-        self._charge(limiting.READ_PIECES, 0)
-        self._go_on()
-
-    def _go_on(self) -> None:
+        # Charged with the first part, unless that completes a request.
+        self._reader.pieces += limiting.READ_PIECES
         self._parse()
-        self._set_reading()
-        self._wake()
-
-    def _set_reading(self) -> None:
-        if self._unparsed or self._is_waiting:
+        if self._unparsed:
             self.transport.pause_reading()
-        else:
-            self.transport.resume_reading()
+        self._wake()
 
     def _charge(self, pieces: int, byte_count: int) -> None:
         """Records the cost of reading or parsing; wasteful work may wait."""
@@ -198,10 +191,11 @@
 
     def _take_turn(self) -> None:
         self._is_waiting = False
-        if self._error is not None:
+        if self._error is None:
+            self._parse()
+            self._wake()
+        if not self._unparsed and not self._is_waiting:
             self.transport.resume_reading()
-            return
-        self._go_on()
 
     def _leave_turns(self) -> None:
         if self._is_waiting:
@@ -367,7 +361,8 @@
         self._queued_bytes -= request.kept_bytes
         if self._unparsed:
             self._parse()
-        self._set_reading()
+        if not self._unparsed and not self._is_waiting:
+            self.transport.resume_reading()
         self.in_use.record(request.kept_bytes, is_complete=True)
         self._record_received()
         return request
@@ -435,10 +430,12 @@
         now = asyncio.get_running_loop().time()
         if self.has_partial_request:
             timeout_s = request_timeout_ms / clocks.MS_PER_S
-            began_at = [now, self._head_began_at, self._waits_since]
-            return min(at for at in began_at if at is not None) + (
-                timeout_s - now
-            )
+            began_at = self._head_began_at
+            if began_at is None:
+                began_at = self._waits_since
+            if began_at is None:
+                return timeout_s
+            return began_at + timeout_s - now
         timeout_s = idle_timeout_ms / clocks.MS_PER_S
         if self._stop_at is None:
             return timeout_s
