Parse and keep less of a wasteful caller before it waits

500 callers with chunks of 1 B still took most of a daemon's processor: 3.9 ms of it for each sound answer, 0.82 alone (bench_floods, load average 21). A profile showed the first part of 4 KB of each new connection, 680 calls of the parser, and connections that gave way for want of memory, closed and came again: each waiting one kept a read of 64 KB and a grown receive buffer of the kernel.

The first part is 1 KB, which holds most requests; parts of a request that comes in tiny ones are 512 B, so that little is done beyond the allowance. What waits is read 512 B at a time with a small receive buffer.

--- a/benchmarks/bench_floods.py
+++ b/benchmarks/bench_floods.py
@@ -2,13 +2,15 @@
 
 Runs one daemon process and closed-loop callers, first alone, then while another
 process floods the daemon. Prints the share of answers that remains, the p99
-latency of both, the longest delay of the event loop, and the time from SIGTERM
-to the exit while the flood goes on.
+latency and the daemon's processor time for each answer of both, the longest
+delay of the event loop, and the times from SIGTERM to the last log line and to
+the exit while the flood goes on.
 """
 
 import asyncio
 import contextlib
 import multiprocessing
+import os
 import pathlib
 import tempfile
 import time
@@ -209,6 +211,17 @@
     return latencies_ms[int(len(latencies_ms) * 0.99)]
 
 
+def _processor_s(pid: int) -> float:
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2]
+    ticks = sum(int(field) for field in fields.split()[11:13])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def _processor_ms(spent_s: float, answers: list[float]) -> float:
+    """Returns the processor time of the daemon for each answer."""
+    return round(spent_s * 1000 / max(1, len(answers)), 3)
+
+
 async def _measure_exit(daemon: deployments.Daemon) -> float:
     began_at = time.monotonic()
     daemon.process.terminate()
@@ -262,29 +275,36 @@
         if name in SEARCHER_FLOODS:
             flood.start()
         await _measure_callers(daemon.front, warm_up_s)
+        pid = daemon.process.pid
+        spent_s = [_processor_s(pid)]
         alone = await _measure_callers(daemon.front, duration_s)
+        spent_s.append(_processor_s(pid))
         begin.set()
         if name not in SEARCHER_FLOODS:
             flood.start()
         try:
             await asyncio.sleep(FLOOD_START_S)
+            spent_s.append(_processor_s(pid))
             beside = await _measure_callers(daemon.front, duration_s)
+            spent_s.append(_processor_s(pid))
+            signalled_at = time.time()
             exit_s = await _measure_exit(daemon)
         finally:
             flood.kill()
             flood.join()
-        late_ms = [
-            record["loop_late_ms"]
-            for record in daemon.log_records()
-            if "loop_late_ms" in record
-        ]
+        records = daemon.log_records()
+    late_ms = [r["loop_late_ms"] for r in records if "loop_late_ms" in r]
+    stopped_at = [r["at"] / 1000 for r in records if r["event"] == "stopped"]
     return {
         "answers_alone": len(alone),
         "answers_beside": len(beside),
         "answer_share": round(len(beside) / len(alone), 3),
         "p99_alone_ms": round(_p99(alone), 1),
         "p99_beside_ms": round(_p99(beside), 1),
+        "processor_ms_alone": _processor_ms(spent_s[1] - spent_s[0], alone),
+        "processor_ms_beside": _processor_ms(spent_s[3] - spent_s[2], beside),
         "loop_late_ms": max(late_ms, default=0),
+        "stopped_s": round(max(stopped_at, default=0) - signalled_at, 2),
         "exit_s": round(exit_s, 2),
         "grace_s": GRACE_S,
     }
--- a/citrondoor/limits/_read_budget.py
+++ b/citrondoor/limits/_read_budget.py
@@ -32,6 +32,11 @@
         self._pieces = 0
         self._bytes = 0
 
+    @property
+    def is_dense(self) -> bool:
+        """Whether few further pieces would be wasteful."""
+        return self._pieces > FREE_PIECES // 2 + self._bytes // BYTES_PER_PIECE
+
     def record(self, pieces: int, byte_count: int) -> int:
         """Records work, and returns how much of it is wasteful.
 
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -36,6 +36,12 @@
 # Received bytes are parsed in parts of this size, so that few requests are
 # queued above the limit.
 PARSED_AT_ONCE_BYTES = 4096
+# Likewise for the first part of received bytes, which holds most requests, and
+# for parts of a request that comes in tiny ones: the cost is known afterwards.
+FIRST_PARSED_BYTES = 1024
+DENSE_PARSED_BYTES = 512
+# What the kernel may receive on a connection that waits for its turn.
+WAITING_RECEIVE_BYTES = 16_384
 # Bytes that are read at a time: a connection that may not go on keeps them.
 MAX_READ_BYTES = 65_536
 # An answer that the caller has not read after this time has no end in sight.
@@ -180,8 +186,16 @@
         if wasteful and not self._turns.spend(wasteful):
             if self._waits_since is None:
                 self._waits_since = asyncio.get_running_loop().time()
+                self._read_less()
             self._wait_turn()
 
+    def _read_less(self) -> None:
+        """Keeps little of a connection that is not read for long times."""
+        self.transport.max_size = DENSE_PARSED_BYTES
+        self.transport.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, WAITING_RECEIVE_BYTES
+        )
+
     def _wait_turn(self) -> None:
         if self.transport.is_closing():
             return
@@ -206,13 +220,17 @@
         """Parses received bytes, until enough requests are queued."""
         data, self._unparsed = self._unparsed, b""
         position = 0
+        size = FIRST_PARSED_BYTES
         try:
             while (
                 position < len(data)
                 and len(self._requests) <= MAX_PIPELINED_REQUESTS
                 and not self._is_waiting
             ):
-                part = data[position : position + PARSED_AT_ONCE_BYTES]
+                if self._effort.is_dense:
+                    size = DENSE_PARSED_BYTES
+                part = data[position : position + size]
+                size = PARSED_AT_ONCE_BYTES
                 position += len(part)
                 requests = self._reader.feed(part)
                 for request in requests:
@@ -221,7 +239,9 @@
                 pieces, self._reader.pieces = self._reader.pieces, 0
                 if requests:
                     self._effort.reset()
-                    self._waits_since = None
+                    if self._waits_since is not None:
+                        self._waits_since = None
+                        self.transport.max_size = MAX_READ_BYTES
                 else:
                     self._charge(pieces, len(part))
         except http1.ProtocolError as error:
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -746,3 +746,23 @@
         return open_count, server.open_count
 
     assert run(body()) == (FLOOD_CALLERS, 0)
+
+
+def test_a_connection_that_waited_carries_the_next_request():
+    async def body():
+        server = await start(EchoHandler(), caller_limits=FLOOD_LIMITS)
+        reader, writer = await connect(server)
+        answers = []
+        for request, target in (
+            (chunked(8_000), b"/c"),
+            (GET, b"/a"),
+            (chunked(100) + GET, b"/c"),
+            (b"", b"/a"),
+        ):
+            writer.write(request)
+            answers.append(await reader.readuntil(target))
+        writer.close()
+        return answers
+
+    answers = run(asyncio.wait_for(body(), 2))
+    assert all(b" 200 " in answer for answer in answers)
