End a daemon with invalid settings though nobody reads its standard error

What operators would see: a process that neither starts nor ends (FAULT). Found by the review: with a full standard error the line about the settings was written with a blocking call, with the signals blocked; 2 s after SIGTERM it still ran. The test failed before: 'TimeoutExpired ... after 8 seconds'.

--- a/citrondoor/daemon/command.py
+++ b/citrondoor/daemon/command.py
@@ -17,6 +17,7 @@
 from citrondoor.daemon import _assembly
 from citrondoor.daemon import _settings
 from citrondoor.daemon import endings
+from citrondoor.daemon import standard_error
 
 read_settings = _settings.read_settings
 
@@ -36,7 +37,7 @@
     try:
         settings = _settings.read_settings(settings_path)
     except errors.DocumentError as error:
-        click.echo(str(error), err=True)
+        standard_error.write_line(str(error))
         if not check:
             telemetry.configure_logs()
             ending = endings.of_settings(error)
--- a/citrondoor/platform/_command.py
+++ b/citrondoor/platform/_command.py
@@ -17,6 +17,7 @@
 from citrondoor.daemon import endings
 from citrondoor.daemon import entry_daemon
 from citrondoor.daemon import settings_wait
+from citrondoor.daemon import standard_error
 from citrondoor.platform import _callers
 from citrondoor.platform import _searcher_codec
 from citrondoor.platform import _store
@@ -93,7 +94,7 @@
         signal_name = signals.pending_end()
         if signal_name is not None:
             return _log_end(vm, endings.of_signal(signal_name))
-        click.echo(str(error), err=True)
+        standard_error.write_line(str(error))
         return _log_end(vm, endings.of_settings(error))
     except Exception as error:
         return _log_end(vm, endings.of_error("process", error))
--- a/tests/platform/test_standard_output.py
+++ b/tests/platform/test_standard_output.py
@@ -4,8 +4,10 @@
 import contextlib
 import os
 import signal
+import subprocess
 import sys
 
+import orjson
 import pytest
 
 from tests.platform import deployment as deployments
@@ -59,3 +61,24 @@
             return response.status, code
 
     assert asyncio.run(body()) == (200, 0)
+
+
+def test_invalid_settings_end_a_daemon_whose_standard_error_is_full(tmp_path):
+    # FAULT: it hung, and SIGTERM did not end it.
+    path = tmp_path / "none.yaml"
+    reader, writer = make_full_pipe()
+    process = subprocess.run(
+        [
+            sys.executable,
+            *("-m", "citrondoor.platform"),
+            *("--settings", str(path)),
+        ],
+        stdout=subprocess.PIPE,
+        stderr=writer,
+        timeout=8,
+        check=False,
+    )
+    for descriptor in (reader, writer):
+        os.close(descriptor)
+    assert process.returncode == 2
+    assert orjson.loads(process.stdout.splitlines()[-1])["event"] == "ended"
