Test of unsent requests: close the stand-in's connection

The accepted side of the test's connection was left open. In a whole run it was reported in a later test, at a garbage collection (ResourceWarnings of one writer, its transport and its socket, Python 3.11.7): tests/membership/test_endpoints.py failed once; three runs alone passed. That this connection is the one reported is inferred from its being the accepted side of a test's server.

--- a/tests/links/test_upstreams.py
+++ b/tests/links/test_upstreams.py
@@ -237,9 +237,14 @@
         unread = asyncio.Event()
 
         async def serve(reader, writer):
-            await unread.wait()
-            while await reader.read(1_000_000):
+            try:
+                await unread.wait()
+                while await reader.read(1_000_000):
+                    pass
+            except ConnectionError:
                 pass
+            finally:
+                writer.close()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0, limit=1000)
         account = limits.MemoryAccount()
@@ -258,6 +263,7 @@
             while account.kept_bytes:
                 await asyncio.sleep(0.01)
         channel.close()
+        await asyncio.sleep(0.02)
         server.close()
         return kept_bytes
 
