Do not make a lost connection wait for its turn

After the caller of a connection was lost while its answer was being sent, the next queued request was taken and the rest of what had been received was parsed. If that was wasteful and the budget was used up, the socket, closed already, was given a smaller buffer. The task of the connection ended with an error that nobody retrieved: a traceback on standard error for each such connection.

The test failed before:

AssertionError: assert [OSError(9, '... descriptor')] == []

A connection that is closing is not made to wait any more, as in `_wait_turn`.

--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -183,7 +183,11 @@
     def _charge(self, pieces: int, byte_count: int) -> None:
         """Records the cost of reading or parsing; wasteful work may wait."""
         wasteful = self._effort.record(pieces, byte_count)
-        if wasteful and not self._turns.spend(wasteful):
+        if (
+            wasteful
+            and not self._turns.spend(wasteful)
+            and not self.transport.is_closing()
+        ):
             if self._waits_since is None:
                 self._waits_since = asyncio.get_running_loop().time()
                 self._read_less()
--- a/tests/links/test_http_server.py
+++ b/tests/links/test_http_server.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from citrondoor import clock as clocks
 from citrondoor import limits
 from citrondoor import links
 from citrondoor.codecs import http1
@@ -780,3 +781,38 @@
 
     answers = run(asyncio.wait_for(body(), 2))
     assert all(b" 200 " in answer for answer in answers)
+
+
+class LargeHandler(EchoHandler):
+    """Responds with more than the caller's connection takes unread."""
+
+    async def handle(self, request, disconnected):
+        return http1.Response(200, [], bytes(20_000_000))
+
+
+def test_a_wasteful_request_behind_a_full_queue_of_a_lost_caller_is_dropped():
+    async def body():
+        problems = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: problems.append(context["exception"])
+        )
+        turns = links.ReadTurns(clocks.ManualClock())
+        turns.spend(10_000)
+        server = links.HttpServer(
+            LargeHandler(), lambda: FLOOD_LIMITS, turns=turns
+        )
+        await server.start("127.0.0.1", 0)
+        STARTED_SERVERS.append(server)
+        _, writer = await connect(server)
+        writer.write(GET)
+        await asyncio.sleep(0.05)
+        writer.write(GET * 17 + chunked(3_000))
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        async with asyncio.timeout(2):
+            while server.open_count:
+                await asyncio.sleep(0.01)
+        gc.collect()
+        return problems
+
+    assert run(body()) == []
