Prefer different peers on each daemon when links are bounded

With a small descriptor limit (256: 11 links, 5 of them dialled) a daemon kept the first of its neighbours, which are sorted by name, and none of its peers in other zones. In a trial of 20 daemons on the loopback interface the last names were dialled by none, the first ones refused links all the time (28 in 2 s), and a daemon that refuses links keeps its dialling peers at one try a second. No daemon was cut off in the trial. Limits of 512 and more are not affected.

The test failed before, in three runs of three:

AssertionError: assert {'vm-9'} == set()

Each daemon now ranks its peers for itself, as it does for seeds.

--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -493,7 +493,11 @@
             else self._choose_peers(known)
         )
         peers = [name for name in peers if name != self._settings.vm]
-        del peers[self._link_bound.max_dialled :]
+        if len(peers) > self._link_bound.max_dialled:
+            # Each daemon prefers others: with the first ones, these would be
+            # the same for all daemons.
+            ranking = rendezvous.rank(f"link/{self._settings.vm}", peers)
+            peers = ranking[: self._link_bound.max_dialled]
         for name in peers:
             endpoint = self._members.endpoint_of(name)
             self._open_link(name, name, endpoint.host, endpoint.peer_port)
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -587,3 +587,25 @@
         await wait_closed()
 
     asyncio.run(body())
+
+
+def test_a_small_bound_of_links_leaves_no_daemon_that_none_dials():
+    # The neighbours are sorted by name, and the first were kept.
+    async def body():
+        ports = deployment.free_ports(20)
+        seeds = [f"127.0.0.1:{port}" for port in ports]
+        nodes = [
+            Node(number, ports, seeds, link_bound=limits.LinkBound(11))
+            for number in range(20)
+        ]
+        for node in nodes:
+            await node.start()
+        await wait_until(lambda: count_members(nodes) == {20})
+        names = {node.settings.vm for node in nodes}
+        dialled = {name for node in nodes for name in node.peers._links}
+        for node in nodes:
+            await node.stop()
+        await wait_closed()
+        return names - dialled
+
+    assert asyncio.run(body()) == set()
