Give the other connections their turns after one of them fails in its turn

All wasteful connections of a daemon wait in one queue, those to searchers and the store included. An error in one turn ended the callback of the timer before it set the next one: the others were not read until a further connection had to wait. No path to such an error is known; the one of a socket that is closed already was on the way of a request, not of a turn.

The test failed before:

AssertionError: assert ([], 1) == (['next'], 1)

The timer is set whatever happens in the turn; the event loop still reports the error.

--- a/citrondoor/links/_read_turns.py
+++ b/citrondoor/links/_read_turns.py
@@ -89,9 +89,12 @@
 
     def _go_on(self) -> None:
         self._timer = None
-        if self._waiting and not self._budget.wait_ms(self._clock.now()):
-            take_turn = next(iter(self._waiting))
-            del self._waiting[take_turn]
-            take_turn()
-        if self._waiting:
-            self._set_timer()
+        try:
+            if self._waiting and not self._budget.wait_ms(self._clock.now()):
+                take_turn = next(iter(self._waiting))
+                del self._waiting[take_turn]
+                take_turn()
+        finally:
+            # Also after an error, which is of one connection.
+            if self._waiting:
+                self._set_timer()
