Test of addresses in use: wait until the daemon has joined

Traced: a daemon whose seed does not listen yet dials it again after 50 ms to 1 s. It now waits for the link while the address is still held, as long as for other conditions; that it comes is demanded as before.

--- a/tests/platform/test_listening.py
+++ b/tests/platform/test_listening.py
@@ -95,8 +95,12 @@
     assert not await deployment.is_ready(daemon)
     listed = await deployment.addresses(first)
     assert listed == {f"{deployments.HOST}:{first.front}"}
-    # It has joined all the same.
-    assert any(r["detail"] == "vm-0" for r in events(daemon, "link_up"))
+
+    async def has_joined():
+        return any(r["detail"] == "vm-0" for r in events(daemon, "link_up"))
+
+    # A seed that did not listen yet is dialled again after up to a second.
+    await deployment.wait_until(has_joined)
 
 
 @pytest.mark.parametrize("hold", [listen_on, connect_from])
