--- a/citrondoor/limits/_descriptors.py
+++ b/citrondoor/limits/_descriptors.py
@@ -139,13 +139,11 @@
 class _Worth(enum.IntEnum):
     """What a link is worth; the least gives way first."""
 
-    # The peer has not proved that it has the key of the cluster.
-    STRANGER = 1
-    REPLACED = 2
-    SILENT = 3
+    REPLACED = 1
+    SILENT = 2
     # The peer is not a member that is alive, or not yet.
-    NO_MEMBER = 4
-    IN_USE = 5
+    NO_MEMBER = 3
+    IN_USE = 4
 
 
 class LinkBound:
@@ -163,6 +161,7 @@
 
     def __init__(self, max_served: int):
         self._max_served = max_served
+        # When all links were last found to be in use.
         self._full_at = -_FULL_MS
         self.closed_count = 0
         self.refused_count = 0
@@ -231,6 +230,7 @@
     least = (_Worth.IN_USE, 0)
     for use in uses:
         if use.peer is None:
+            # Has not proved that it has the key of the cluster.
             return use
         worth = (_worth_of(use, is_member, now), use.heard_at)
         if worth[0] < _Worth.IN_USE and worth < least:
--- a/citrondoor/limits/_read_budget.py
+++ b/citrondoor/limits/_read_budget.py
@@ -34,7 +34,11 @@
 
     @property
     def is_dense(self) -> bool:
-        """Whether few further pieces would be wasteful."""
+        """Whether few further pieces would be wasteful.
+
+        Such a message is parsed in smaller parts: the cost of a part is known
+        only afterwards.
+        """
         return self._pieces > FREE_PIECES // 2 + self._bytes // BYTES_PER_PIECE
 
     def record(self, pieces: int, byte_count: int) -> int:
--- a/citrondoor/links/_http_server.py
+++ b/citrondoor/links/_http_server.py
@@ -113,7 +113,7 @@
         "_stop_at",
         "_turns",
         "_unparsed",
-        "_waits_since",
+        "_first_waited_at",
         "_wake_future",
         "_writable",
         "disconnected",
@@ -144,9 +144,10 @@
         self._writable: asyncio.Future | None = None
         self._error: http1.ProtocolError | None = None
         # Times of the event loop in seconds, or None. The second is when the
-        # request in part first waited for its turn.
+        # request in part first waited for its turn; it is kept until the
+        # request is complete, as it limits all the rest of it.
         self._head_began_at: float | None = None
-        self._waits_since: float | None = None
+        self._first_waited_at: float | None = None
         self._stop_at: float | None = None
         self.disconnected = asyncio.get_running_loop().create_future()
         self.transport: asyncio.Transport | None = None
@@ -188,8 +189,8 @@
             and not self._turns.spend(wasteful)
             and not self.transport.is_closing()
         ):
-            if self._waits_since is None:
-                self._waits_since = asyncio.get_running_loop().time()
+            if self._first_waited_at is None:
+                self._first_waited_at = asyncio.get_running_loop().time()
                 self._read_less()
             self._wait_turn()
 
@@ -243,8 +244,8 @@
                 pieces, self._reader.pieces = self._reader.pieces, 0
                 if requests:
                     self._effort.reset()
-                    if self._waits_since is not None:
-                        self._waits_since = None
+                    if self._first_waited_at is not None:
+                        self._first_waited_at = None
                         self.transport.max_size = MAX_READ_BYTES
                 else:
                     self._charge(pieces, len(part))
@@ -335,7 +336,7 @@
         return (
             self._reader.is_in_head
             or self._reader.is_in_body
-            or self._waits_since is not None
+            or self._first_waited_at is not None
         )
 
     @property
@@ -438,7 +439,7 @@
 
     def _too_late(self) -> http1.ProtocolError:
         """Returns why a request that is not complete in time is refused."""
-        if self._waits_since is None:
+        if self._first_waited_at is None:
             return http1.ProtocolError(408, "a request that stalls")
         self._turns.refused_count += 1
         return http1.WastefulError(
@@ -456,11 +457,11 @@
             timeout_s = request_timeout_ms / clocks.MS_PER_S
             began_at = self._head_began_at
             if began_at is None:
-                began_at = self._waits_since
+                began_at = self._first_waited_at
             if began_at is None:
                 return timeout_s
             remaining_s = began_at + timeout_s - now
-            if self._stop_at is None or self._waits_since is None:
+            if self._stop_at is None or self._first_waited_at is None:
                 return remaining_s
             return min(remaining_s, self._stop_at - now)
         timeout_s = idle_timeout_ms / clocks.MS_PER_S
@@ -512,7 +513,7 @@
           linger_ms: Time in which another request may still begin.
         """
         self._stop_at = asyncio.get_running_loop().time()
-        if self._waits_since is None:
+        if self._first_waited_at is None:
             self._stop_at += linger_ms / clocks.MS_PER_S
         self._wake()
 
--- a/citrondoor/links/_json_client.py
+++ b/citrondoor/links/_json_client.py
@@ -149,7 +149,7 @@
                         )
                     read_bytes = WASTEFUL_READ_BYTES
                     if not self._turns.spend(wasteful):
-                        await self._turns.take_turn()
+                        await self._turns.wait_for_turn()
             response = parser.finish()
             if response is None:
                 raise EOFError("connection closed before a complete response")
--- a/citrondoor/links/_read_turns.py
+++ b/citrondoor/links/_read_turns.py
@@ -66,7 +66,7 @@
         """Does not call a function that waits."""
         self._waiting.pop(take_turn, None)
 
-    async def take_turn(self) -> None:
+    async def wait_for_turn(self) -> None:
         """Waits until a connection that a task reads may go on."""
         turn = asyncio.get_running_loop().create_future()
 
