--- a/tests/soak/daemon_faults.py
+++ b/tests/soak/daemon_faults.py
@@ -65,6 +65,8 @@
     async def pause_daemon(self, daemon):
         daemon.hindrances.add("paused")
         daemon.send_signal(signal.SIGSTOP)
+        # A caller may give up before the daemon goes on.
+        self.soak.disturbed_at[daemon.name] = time.monotonic()
         await self.soak.sleep_random()
         daemon.send_signal(signal.SIGCONT)
         self.soak.disturbed_at[daemon.name] = time.monotonic()
--- a/tests/soak/test_daemons.py
+++ b/tests/soak/test_daemons.py
@@ -1,12 +1,15 @@
 import asyncio
 import signal
 import sys
+import time
 import types
 
 import pytest
 
 from tests.platform import deployment as deployments
+from tests.soak import daemon_faults
 from tests.soak import daemons
+from tests.soak import entry
 
 
 def run_with_daemon(tmp_path, code, body):
@@ -73,3 +76,35 @@
         "kept = b'a' * 400_000_000; time.sleep(60)"
     )
     run_with_daemon(tmp_path, code, body)
+
+
+class PausedDaemon:
+    name = "vm-0"
+
+    def __init__(self):
+        self.hindrances = set()
+
+    def send_signal(self, number):
+        pass
+
+
+def test_a_request_that_ends_while_its_daemon_is_paused_is_not_judged(tmp_path):
+    async def body():
+        soak = entry.Soak(1, 0, tmp_path)
+        daemon = PausedDaemon()
+        soak.deployment.daemons = [daemon]
+        soak.run_counts[b"c1"] = 1
+        sent_at = time.monotonic()
+
+        async def time_out(max_s=2.0):
+            soak.check_unanswered(daemon, b"c1", sent_at, TimeoutError())
+
+        soak.sleep_random = time_out
+        await daemon_faults.DaemonFaults(soak).pause_daemon()
+        assert soak.problems == []
+        # After the pause it is judged again.
+        sent_at = time.monotonic()
+        await time_out()
+        assert len(soak.problems) == 1
+
+    asyncio.run(body())
