--- a/tests/soak/daemons.py
+++ b/tests/soak/daemons.py
@@ -9,6 +9,7 @@
 import signal
 import socket
 import sys
+import sysconfig
 import time
 
 import orjson
@@ -83,7 +84,15 @@
       hindered_at: Monotonic time until which something may have done so.
     """
 
-    command = (sys.executable, "-m", "citrondoor.platform")
+    # As the deploy file does; without `site`, the libraries are on the path.
+    command = (
+        sys.executable,
+        *("-S", "-P"),
+        str(deployments.ROOT / "deploy" / "entry.py"),
+    )
+    path = os.pathsep.join(
+        (str(deployments.ROOT), sysconfig.get_path("purelib"))
+    )
 
     def __init__(self, max_fds, *arguments):
         super().__init__(*arguments)
@@ -117,7 +126,10 @@
             stdout=self.output.writer,
             stderr=self.output.writer,
             env={n: os.environ[n] for n in ENVIRONMENT_NAMES if n in os.environ}
-            | {"CITRONDOOR_SETTINGS": str(self.settings_path)},
+            | {
+                "CITRONDOOR_SETTINGS": str(self.settings_path),
+                "PYTHONPATH": self.path,
+            },
             preexec_fn=lambda: resource.setrlimit(
                 resource.RLIMIT_NOFILE, (self.max_fds, self.max_fds)
             ),
