--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,138 @@
+"""DRAIN: searchers that drain while daemons read the store page by page."""
+
+import asyncio
+import pathlib
+import random
+import sys
+
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "stage2"))
+
+import stage as stages  # noqa: E402
+
+DRAIN_S = 3.0
+# The store's pages, as the site's file states them (`page`).
+PAGE_ITEMS = 50
+# In all as many searchers as the grown sites have.
+OTHER_SERVICES = 130
+REPLICAS = 3
+USED = 300
+# Searchers of the used service drain one after the other.
+DRAINED = 270
+GAP_S = 0.22
+# One that drains goes on for this long, and then exits.
+LEAVES_AFTER_S = 8.0
+REQUESTS_PER_S = 300
+CALLERS_PER_DAEMON = 8
+
+
+def _config() -> dict:
+    names = ["reserve", *[f"other-{n}" for n in range(OTHER_SERVICES)]]
+    return {
+        "version": 1,
+        "routes": [
+            {
+                "name": "fetch",
+                "host": stages.HOST,
+                "prefix": "/fetch/",
+                "kind": "non_idempotent",
+                "timeout-ms": 6000,
+                "goal-ms": 500,
+                "priority": 2,
+                "service": "reserve",
+                "max-attempts": 2,
+            }
+        ],
+        "services": [
+            {
+                "name": name,
+                "health-path": "/healthz",
+                "max-connections": 51,
+                "warmup-s": 3.0,
+                "warmup-per-s": 0.0,
+            }
+            for name in names
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 262144,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+    }
+
+
+async def _call(caller, delay_s: float) -> None:
+    record = caller.stage.record
+    pause_s = 5 * CALLERS_PER_DAEMON / REQUESTS_PER_S
+    due_at = record.now() + delay_s
+    while True:
+        await asyncio.sleep(max(0.0, due_at - record.now()))
+        await caller.send("/fetch/a", 6000, "POST", b"x")
+        due_at = max(due_at + pause_s, record.now())
+
+
+async def _leave(stage, searcher) -> None:
+    await asyncio.sleep(LEAVES_AFTER_S)
+    searcher.end_heartbeats()
+    stage.store.remove(searcher.key)
+    searcher.stop()
+
+
+async def play() -> bool:
+    """Returns whether no request came later than `drain-ms`."""
+    rng = random.Random()
+    async with stages.Stage(HERE, PAGE_ITEMS) as stage:
+        stage.store.put("op/config", _config())
+        services = ["reserve"] * USED
+        for n in range(OTHER_SERVICES):
+            services += [f"other-{n}"] * REPLICAS
+        used = []
+        for n, service in enumerate(services):
+            searcher = await stage.add_searcher(
+                f"i-{rng.getrandbits(40):010x}",
+                service,
+                stages.ZONES[n % len(stages.ZONES)],
+            )
+            if service == "reserve":
+                used.append(searcher)
+        await stage.start_daemons(5)
+        callers = [
+            stages.Caller(stage, daemon)
+            for daemon in stage.daemons
+            for _ in range(CALLERS_PER_DAEMON)
+        ]
+        for number, caller in enumerate(callers):
+            stage.run_in_background(_call(caller, number / REQUESTS_PER_S))
+        await asyncio.sleep(2)
+        drained = {}
+        for searcher in used[:DRAINED]:
+            if stages.is_troubled():
+                searcher.state = "draining"
+                searcher.write_entry()
+                drained[searcher] = stage.record.now()
+                stage.run_in_background(_leave(stage, searcher))
+            await asyncio.sleep(GAP_S * (0.5 + rng.random()))
+        await asyncio.sleep(LEAVES_AFTER_S)
+        late = {}
+        for searcher, at in drained.items():
+            by = [
+                (round(t - at, 1), stage.sent_to[request_id])
+                for t, request_id, _ in searcher.arrivals
+                if t > at + DRAIN_S
+            ]
+            if by:
+                late[searcher.id] = by
+        count = sum(map(len, late.values()))
+        stage.record.write("verdict", late=count, searchers=len(late))
+        print(
+            f"{count} requests reached {len(late)} of {len(drained)} draining"
+            f" searchers later than {DRAIN_S:g} s; statuses"
+            f" {dict(stage.statuses)}"
+        )
+        for name, by in late.items():
+            print(name, len(by), by[:2], by[-1], {d for _, d in by})
+        return not count
+
+
+stages.run(play)
