--- a/review/stage2/stage.py
+++ b/review/stage2/stage.py
@@ -372,6 +372,12 @@
             self.write_entry()
             await asyncio.sleep(HEARTBEAT_S)
 
+    def renew(self) -> None:
+        """Begins a new incarnation under the same id."""
+        self.born = int(time.time() * 1000)
+        self._seq = 0
+        self._slots = asyncio.Semaphore(self.capacity)
+
     def end_heartbeats(self) -> None:
         """Writes nothing more to the store."""
         if self._beat is not None:
