--- a/review/6/case.py
+++ b/review/6/case.py
@@ -22,6 +22,8 @@
 DRAINED = 405
 AT_A_TIME = 9
 GAP_S = 1.5
+# `item-fetch` of the sheet.
+WORK_S = 0.135
 # One that drains goes on for this long, and then exits.
 LEAVES_AFTER_S = 8.0
 REQUESTS_PER_S = 300
@@ -95,6 +97,7 @@
                 f"i-{rng.getrandbits(40):010x}",
                 service,
                 stages.ZONES[n % len(stages.ZONES)],
+                WORK_S,
             )
             if service == "reserve":
                 used.append(searcher)
@@ -127,10 +130,13 @@
             if by:
                 late[searcher.id] = by
         count = sum(map(len, late.values()))
+        lost = [s for s in stage.statuses if s not in (200, 503)]
+        lost_count = sum(stage.statuses[status] for status in lost)
         stage.record.write("verdict", late=count, searchers=len(late))
         print(
             f"{count} requests reached {len(late)} of {len(drained)} draining"
-            f" searchers later than {DRAIN_S:g} s; statuses"
+            f" searchers later than {DRAIN_S:g} s; {lost_count} requests were"
+            f" in progress when their searcher exited; statuses"
             f" {dict(stage.statuses)}"
         )
         for name, by in late.items():
