--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,7 +21,7 @@
 # time.
 DRAINED = 405
 AT_A_TIME = 9
-GAP_S = 1.5
+GAP_S = 1.3
 # `item-fetch` of the sheet.
 WORK_S = 0.135
 # One that drains goes on for this long, and then exits.
