--- a/review/stage2/stage.py
+++ b/review/stage2/stage.py
@@ -637,7 +637,7 @@
         self.searchers.append(searcher)
         return searcher
 
-    async def start_daemons(self, count: int, bounds=None) -> None:
+    async def start_daemons(self, count, bounds=None, settle_s=5.0) -> None:
         """Starts daemons in the zones in turn, and waits until all serve."""
         known = {
             "grace_s": 6,
@@ -663,7 +663,7 @@
                 while not await daemon.is_ready():
                     await asyncio.sleep(0.05)
         # The daemons find each other and agree on how many there are.
-        await asyncio.sleep(5)
+        await asyncio.sleep(settle_s)
 
     def run_in_background(self, coroutine) -> asyncio.Task:
         """Starts a task that ends with the stage."""
