--- a/review/6/case.py
+++ b/review/6/case.py
@@ -21,10 +21,12 @@
 # time.
 DRAINED = 405
 AT_A_TIME = 9
+# The last ones go on to drain for some further moments.
+BATCHES = DRAINED // AT_A_TIME + 6
 GAP_S = 1.3
 # `item-fetch` of the sheet.
 WORK_S = 0.135
-# One that drains goes on for this long, and then exits.
+# One that drains goes on for this long, and exits when the next ones drain.
 LEAVES_AFTER_S = 8.0
 REQUESTS_PER_S = 300
 CALLERS_PER_DAEMON = 8
@@ -76,8 +78,7 @@
         due_at = max(due_at + pause_s, record.now())
 
 
-async def _leave(stage, searcher) -> None:
-    await asyncio.sleep(LEAVES_AFTER_S)
+def _exit(stage, searcher) -> None:
     searcher.end_heartbeats()
     stage.store.remove(searcher.key)
     searcher.stop()
@@ -111,15 +112,22 @@
             stage.run_in_background(_call(caller, number / REQUESTS_PER_S))
         await asyncio.sleep(2)
         drained = {}
-        for first in range(0, DRAINED, AT_A_TIME):
-            for searcher in used[first : first + AT_A_TIME]:
-                if stages.is_troubled():
-                    searcher.state = "draining"
-                    searcher.write_entry()
-                    drained[searcher] = stage.record.now()
-                    stage.run_in_background(_leave(stage, searcher))
+        remaining = used[:DRAINED] if stages.is_troubled() else []
+        serving = []
+        for _ in range(BATCHES):
+            now = stage.record.now()
+            while serving and now - drained[serving[0]] > LEAVES_AFTER_S:
+                _exit(stage, serving.pop(0))
+            for searcher in remaining[:AT_A_TIME]:
+                searcher.state = "draining"
+                searcher.write_entry()
+                drained[searcher] = stage.record.now()
+                serving.append(searcher)
+            del remaining[:AT_A_TIME]
             await asyncio.sleep(GAP_S * (0.5 + rng.random()))
-        await asyncio.sleep(LEAVES_AFTER_S)
+        for searcher in serving:
+            _exit(stage, searcher)
+        await asyncio.sleep(1)
         late = {}
         for searcher, at in drained.items():
             by = [
