--- a/review/6/case.py
+++ b/review/6/case.py
@@ -13,6 +13,8 @@
 DRAIN_S = 3.0
 # The store's pages, as the site's file states them (`page`).
 PAGE_ITEMS = 50
+# An answer of the store, as the sheet states it.
+ANSWER_S = 0.004
 # In all as many searchers as the grown sites have.
 OTHER_SERVICES = 86
 REPLICAS = 3
@@ -87,7 +89,7 @@
 async def play() -> bool:
     """Returns whether no request came later than `drain-ms`."""
     rng = random.Random()
-    async with stages.Stage(HERE, PAGE_ITEMS) as stage:
+    async with stages.Stage(HERE, PAGE_ITEMS, ANSWER_S) as stage:
         stage.store.put("op/config", _config())
         services = ["reserve"] * USED
         for n in range(OTHER_SERVICES):
--- a/review/stage2/stage.py
+++ b/review/stage2/stage.py
@@ -203,7 +203,7 @@
         while (request := await read_message(reader)) is not None:
             target = urllib.parse.urlsplit(request.first[1])
             query = dict(urllib.parse.parse_qsl(target.query))
-            await asyncio.sleep(STORE_ANSWER_S)
+            await asyncio.sleep(self._store.answer_s)
             status, body = 503, {}
             if not self.is_turned_away:
                 status, body = self._store.answer(target.path, query)
@@ -221,9 +221,19 @@
     Args:
       record: Where its writes are recorded.
       page_items: Items in one answer.
+      answer_s: Time that an answer takes.
+
+    Attributes:
+      answer_s: As above.
     """
 
-    def __init__(self, record: Record, page_items: int = 500):
+    def __init__(
+        self,
+        record: Record,
+        page_items: int = 500,
+        answer_s: float = STORE_ANSWER_S,
+    ):
+        self.answer_s = answer_s
         self.host = "127.0.0.1"
         self._record = record
         self._page_items = page_items
@@ -607,12 +617,18 @@
     Args:
       folder: Folder of the case, for `record.txt`.
       page_items: Items in one answer of the store.
+      answer_s: Time that an answer of the store takes.
     """
 
-    def __init__(self, folder: pathlib.Path, page_items: int = 500):
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        page_items: int = 500,
+        answer_s: float = STORE_ANSWER_S,
+    ):
         self.record = Record(folder / "record.txt")
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="citrondoor-"))
-        self.store = Store(self.record, page_items)
+        self.store = Store(self.record, page_items, answer_s)
         self.searchers = []
         self.daemons = []
         self.sent_at = {}
