Keep that a searcher leaves apart from its entry in the store

Cause: the mark was a field of the registry's record. Both readers of the store tell of a removal, each at its own revision, and the second removal replaced the tombstone that held the mark. A late write then made the same incarnation usable. The log showed it: upstream_leaving, upstream_gone, upstream_seen and a second upstream_leaving for one id and one start.

A second removal keeps its tombstone. Peers' reports are recorded also for searchers that are evacuated or not registered now. An entry that returns logs upstream_still_leaving.

--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -299,7 +299,7 @@
         )
         self._dispatcher.set_relay(self._relay)
         self._searcher_reports = entry.SearcherReports(
-            self._peers, self._view, self._dispatcher
+            self._peers, self._dispatcher
         )
         self._view.subscribe(self._on_view_changed)
 
--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 
+from citrondoor.discovery import _departures
 from citrondoor.schema import serving
 
 # For this long after an outage of the store, searchers missing from a listing
@@ -30,7 +31,6 @@
     __slots__ = (
         "changed_at_revision",
         "cold_until",
-        "leaving_born_ms",
         "removed_at",
         "upstream",
     )
@@ -40,9 +40,6 @@
         self.changed_at_revision = revision
         self.cold_until = 0
         self.removed_at = 0
-        # Incarnation that said in an answer that it is leaving, as its start in
-        # Unix ms; None if none did.
-        self.leaving_born_ms: int | None = None
 
 
 class Registry:
@@ -54,6 +51,7 @@
 
     __slots__ = (
         "_behind_since",
+        "_departures",
         "_evacuated",
         "_listener",
         "_live_bytes",
@@ -69,6 +67,7 @@
     def __init__(self, listener: Callable[[str, str], None]):
         self._listener = listener
         self._records: dict[str, _Record] = {}
+        self._departures = _departures.Departures()
         # Estimated memory of searchers and of tombstones.
         self._live_bytes = 0
         self._tombstone_bytes = 0
@@ -102,8 +101,12 @@
 
     @property
     def kept_bytes(self) -> int:
-        """Estimate of the memory of all searchers and tombstones."""
-        return self._live_bytes + self._tombstone_bytes
+        """Estimate of the memory of searchers, tombstones and departures."""
+        return (
+            self._live_bytes
+            + self._tombstone_bytes
+            + self._departures.kept_bytes
+        )
 
     @property
     def version(self) -> int:
@@ -164,6 +167,11 @@
             return None
         return record.upstream
 
+    def find_registered(self, upstream_id: str) -> serving.Upstream | None:
+        """Returns a searcher even if it may not receive new work, or None."""
+        record = self._records.get(upstream_id)
+        return None if record is None else record.upstream
+
     def all_usable_upstreams(self) -> list[serving.Upstream]:
         """Returns all searchers that may receive new work."""
         if self._usable_by_backend is None:
@@ -191,20 +199,24 @@
         if record is not None:
             record.cold_until = max(record.cold_until, now + remaining_ms)
 
-    def mark_leaving(self, upstream: serving.Upstream) -> bool:
+    def mark_leaving(self, upstream_id: str, born_ms: int, now: int) -> bool:
         """Records that a searcher says in an answer that it is leaving.
 
-        This incarnation gets no new work, whatever the store and peers say.
+        This incarnation gets no new work, whatever the store and peers say, and
+        whether or not it is registered now.
+
+        Args:
+          upstream_id: Id of the searcher.
+          born_ms: Start of its process in Unix ms.
+          now: Clock time in ms.
 
         Returns:
           Whether this was not known.
         """
-        record = self._records.get(upstream.id)
-        if record is None or record.leaving_born_ms == upstream.born_ms:
+        if not self._departures.add(upstream_id, born_ms, now):
             return False
-        record.leaving_born_ms = upstream.born_ms
         self._on_usable_changed()
-        self._listener("upstream_leaving", f"{upstream.id} {upstream.backend}")
+        self._listener("upstream_leaving", f"{upstream_id} born {born_ms}")
         return True
 
     def set_evacuated(self, zones: frozenset[str]) -> None:
@@ -245,6 +257,7 @@
                 self._removals_known_after = revision
             self._advance(revision)
         self._drop_old_tombstones(now)
+        self._departures.drop_old(self.find_registered, now)
 
     def apply_updates(
         self,
@@ -295,11 +308,11 @@
             return
         # Another daemon may know a searcher that this one never knew, and may
         # learn from this one that it is gone.
-        tombstone = _Record(None, update.revision)
-        tombstone.removed_at = now
         if record is None:
+            record = self._records[update.id] = _Record(None, update.revision)
             self._tombstone_bytes += _tombstone_size(update.id)
-        self._records[update.id] = tombstone
+        record.changed_at_revision = update.revision
+        record.removed_at = now
 
     def _advance(self, revision: int) -> None:
         self._revision = revision
@@ -377,7 +390,9 @@
         revision: int,
     ) -> None:
         kind = "upstream_seen"
-        if upstream.state == serving.UpstreamState.DRAINING:
+        if self._departures.includes(upstream):
+            kind = "upstream_still_leaving"
+        elif upstream.state == serving.UpstreamState.DRAINING:
             kind = "upstream_draining"
         elif previous is not None and previous.born_ms != upstream.born_ms:
             kind = "upstream_restarted"
@@ -433,7 +448,7 @@
             upstream is not None
             and upstream.zone not in self._evacuated
             and upstream.state == serving.UpstreamState.READY
-            and upstream.born_ms != record.leaving_born_ms
+            and not self._departures.includes(upstream)
         )
 
 
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -150,7 +150,7 @@
         ] = {}
         self._running: set[_running.RunningRequest] = set()
         self._shutdown = _shutdown.Shutdown()
-        self._on_news = lambda upstream, statements: None
+        self._on_news = lambda report: None
         self.counters = DispatchCounters()
         self.in_flight = 0
 
@@ -252,10 +252,7 @@
             self._hedge_retry_limiter.retain_only(table.routed_backends, now)
 
     def set_report_listener(
-        self,
-        on_news: Callable[
-            [serving.Upstream, messages.SearcherStatements], None
-        ],
+        self, on_news: Callable[[messages.SearcherReport], None]
     ) -> None:
         """Sets the function that gets what other daemons should know."""
         self._on_news = on_news
@@ -269,7 +266,9 @@
             return
         if statements.pause_ms:
             self._pause(upstream, statements.pause_ms)
-        is_new = statements.is_leaving and self._view.mark_leaving(upstream)
+        is_new = statements.is_leaving and self._mark_leaving(
+            upstream.id, upstream.born_ms
+        )
         is_answer = reply.outcome == links.ExchangeOutcome.ANSWERED
         # Only an answer without a limit takes the limit back.
         if statements.rate_limit_per_s is not None or is_answer:
@@ -278,24 +277,31 @@
             is_new |= not had_limit and statements.rate_limit_per_s is not None
         if is_new:
             self._on_news(
-                upstream,
-                messages.SearcherStatements(
-                    statements.rate_limit_per_s, statements.is_leaving
-                ),
+                messages.SearcherReport(
+                    upstream.id,
+                    upstream.born_ms,
+                    messages.SearcherStatements(
+                        statements.rate_limit_per_s, statements.is_leaving
+                    ),
+                )
             )
 
     def record_report(
-        self,
-        upstream: serving.Upstream,
-        statements: messages.SearcherStatements,
-        sender: str,
+        self, report: messages.SearcherReport, sender: str
     ) -> None:
         """Records what a peer learned of a searcher, if it is new here.
 
-        A limit that this daemon knows stays, as the searcher's own answers are
-        newer.
+        That it is leaving holds also if it is not registered now: its entry may
+        come back. The rest concerns registered searchers only. A limit that
+        this daemon knows stays, as the searcher's own answers are newer.
         """
-        is_new = statements.is_leaving and self._view.mark_leaving(upstream)
+        statements = report.statements
+        is_new = statements.is_leaving and self._mark_leaving(
+            report.upstream_id, report.born_ms
+        )
+        upstream = self._view.registry.find_registered(report.upstream_id)
+        if upstream is None or upstream.born_ms != report.born_ms:
+            return
         rate_per_s = statements.rate_limit_per_s
         if rate_per_s is not None and not self._stated_rates.is_limited(
             upstream
@@ -303,7 +309,10 @@
             self._record_rate(upstream, rate_per_s, sender)
             is_new = True
         if is_new:
-            self._on_news(upstream, statements)
+            self._on_news(report)
+
+    def _mark_leaving(self, upstream_id: str, born_ms: int) -> bool:
+        return self._view.mark_leaving(upstream_id, born_ms, self._clock.now())
 
     def _record_rate(
         self,
--- a/citrondoor/entry/_searcher_reports.py
+++ b/citrondoor/entry/_searcher_reports.py
@@ -8,9 +8,7 @@
 
 from citrondoor.entry import _dispatcher
 from citrondoor.entry import _peer_network
-from citrondoor.entry import _view
 from citrondoor.schema import messages
-from citrondoor.schema import serving
 
 
 class SearcherReports:
@@ -18,20 +16,17 @@
 
     Args:
       peers: Links to the other daemons.
-      view: This daemon's view of the searchers.
       dispatcher: Records what searchers say.
     """
 
-    __slots__ = ("_dispatcher", "_peers", "_pending", "_view")
+    __slots__ = ("_dispatcher", "_peers", "_pending")
 
     def __init__(
         self,
         peers: _peer_network.PeerNetwork,
-        view: _view.LocalView,
         dispatcher: _dispatcher.Dispatcher,
     ):
         self._peers = peers
-        self._view = view
         self._dispatcher = dispatcher
         # The newest report of each searcher since the last flush.
         self._pending: dict[str, messages.SearcherReport] = {}
@@ -40,15 +35,9 @@
             messages.SearcherReports, self.on_reports
         )
 
-    def on_news(
-        self,
-        upstream: serving.Upstream,
-        statements: messages.SearcherStatements,
-    ) -> None:
+    def on_news(self, report: messages.SearcherReport) -> None:
         """Queues what this daemon has just learned of a searcher."""
-        self._pending[upstream.id] = messages.SearcherReport(
-            upstream.id, upstream.born_ms, statements
-        )
+        self._pending[report.upstream_id] = report
 
     def flush(self) -> None:
         """Sends the queued reports to all linked peers, in one message each."""
@@ -62,9 +51,4 @@
     ) -> None:
         """Applies what a peer learned; what is new here is passed on."""
         for report in message.reports:
-            upstream = self._view.registry.find(report.upstream_id)
-            # A report never outlives the searcher's incarnation.
-            if upstream is not None and upstream.born_ms == report.born_ms:
-                self._dispatcher.record_report(
-                    upstream, report.statements, sender
-                )
+            self._dispatcher.record_report(report, sender)
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -87,14 +87,14 @@
         """Calls `listener` after each change of routes or searchers."""
         self._subscribers.append(listener)
 
-    def mark_leaving(self, upstream: serving.Upstream) -> bool:
-        """Stops new work for a searcher that says that it is leaving.
+    def mark_leaving(self, upstream_id: str, born_ms: int, now: int) -> bool:
+        """Stops new work for an incarnation that says that it is leaving.
 
         Returns:
           Whether this was not known.
         """
         old_versions = self._versions()
-        is_new = self.registry.mark_leaving(upstream)
+        is_new = self.registry.mark_leaving(upstream_id, born_ms, now)
         self._notify_if_changed(old_versions)
         return is_new
 
--- a/tests/discovery/test_registry.py
+++ b/tests/discovery/test_registry.py
@@ -46,12 +46,16 @@
     assert usable_ids(registry) == ["i-2"]
 
 
+def mark_leaving(registry, upstream, now=0):
+    return registry.mark_leaving(upstream.id, upstream.born_ms, now)
+
+
 def test_a_searcher_that_says_it_leaves_is_not_used_whatever_others_say():
     registry, events = make_registry()
     ready = samples.upstream("i-1")
     registry.apply_listing([ready], 5, 0)
-    assert registry.mark_leaving(ready)
-    assert not registry.mark_leaving(ready)
+    assert mark_leaving(registry, ready)
+    assert not mark_leaving(registry, ready)
     assert events.count("upstream_leaving") == 1
     assert usable_ids(registry) == []
     registry.apply_listing([ready], 6, 10)
@@ -66,6 +70,76 @@
     assert usable_ids(registry) == ["i-1"]
 
 
+def test_a_leaving_searcher_is_not_used_after_two_peers_tell_of_its_removal():
+    # Guards against a late write of the store that brings back the entry of a
+    # searcher after a second removal has replaced its record.
+    registry, events = make_registry()
+    ready = samples.upstream("i-1")
+    registry.apply_listing([ready], 5, 0)
+    mark_leaving(registry, ready)
+    for revision in (6, 7):
+        removal = serving.UpstreamNews("i-1", revision)
+        registry.apply_updates([removal], revision, 10)
+    returned = serving.UpstreamNews("i-1", 8, samples.upstream("i-1"))
+    registry.apply_updates([returned], 8, 20)
+    assert usable_ids(registry) == []
+    assert events[-1] == "upstream_still_leaving"
+
+
+def test_a_searcher_that_leaves_after_its_removal_is_not_used_again():
+    # Guards against an answer that arrives once the entry is gone.
+    registry, _ = make_registry()
+    ready = samples.upstream("i-1")
+    registry.apply_listing([ready], 5, 0)
+    registry.apply_listing([], 6, 10)
+    now = 20 + _registry.TOMBSTONE_MS
+    registry.apply_listing([], 7, now)
+    assert mark_leaving(registry, ready, now)
+    registry.apply_listing([ready], 8, now + 10)
+    assert usable_ids(registry) == []
+
+
+def test_a_leaving_searcher_is_not_used_after_its_tombstone_is_dropped():
+    # Guards against a mark that ends with the record it hangs on.
+    registry, _ = make_registry()
+    ready = samples.upstream("i-1")
+    registry.apply_listing([ready], 5, 0)
+    mark_leaving(registry, ready)
+    registry.apply_listing([], 6, 10)
+    registry.drop_tombstones(0)
+    registry.apply_listing([ready], 7, 20)
+    assert usable_ids(registry) == []
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from(("list", "update", "drop", "wait")),
+            strategies.booleans(),
+        ),
+        max_size=12,
+    )
+)
+def test_no_order_of_events_makes_a_leaving_searcher_usable(steps):
+    registry, _ = make_registry()
+    ready = samples.upstream("i-1")
+    registry.apply_listing([ready], 5, 0)
+    mark_leaving(registry, ready)
+    now = 0
+    for revision, (kind, is_registered) in enumerate(steps, 6):
+        entries = [samples.upstream("i-1")] if is_registered else []
+        if kind == "list":
+            registry.apply_listing(entries, revision, now)
+        elif kind == "update":
+            update = serving.UpstreamNews("i-1", revision, *entries)
+            registry.apply_updates([update], revision, now)
+        elif kind == "drop":
+            registry.drop_tombstones(0)
+        else:
+            now += _registry.TOMBSTONE_MS + 1
+        assert usable_ids(registry) == []
+
+
 def test_searchers_missing_after_an_outage_are_kept_for_the_grace_period():
     registry, _ = make_registry()
     registry.apply_listing([samples.upstream("i-1")], 5, 0)
--- a/tests/entry/test_searcher_reports.py
+++ b/tests/entry/test_searcher_reports.py
@@ -38,7 +38,7 @@
             [UPSTREAM, SPARE],
         )
         self.reports = entry.SearcherReports(
-            self.peers, self.harness.view, self.harness.dispatcher
+            self.peers, self.harness.dispatcher
         )
 
     def hear(self, **statements):
@@ -113,6 +113,29 @@
     assert daemon.peers.sent == []
 
 
+def test_a_peer_tells_that_a_searcher_of_an_evacuated_zone_is_leaving():
+    # Guards against a report that is dropped while its searcher cannot be used.
+    (daemon,) = make_ring(1)
+    registry = daemon.harness.view.registry
+    registry.set_evacuated(frozenset({UPSTREAM.zone}))
+    leaving = messages.SearcherStatements(is_leaving=True)
+    report = messages.SearcherReport("i-1", UPSTREAM.born_ms, leaving)
+    daemon.reports.on_reports(messages.SearcherReports([report]), "vm-9")
+    registry.set_evacuated(frozenset())
+    assert daemon.usable_ids == ["i-2"]
+
+
+def test_a_peer_tells_that_a_searcher_without_an_entry_is_leaving():
+    # Guards against a report that is dropped while the entry is missing.
+    (daemon,) = make_ring(1)
+    leaving = messages.SearcherStatements(is_leaving=True)
+    report = messages.SearcherReport("i-3", 1, leaving)
+    daemon.reports.on_reports(messages.SearcherReports([report]), "vm-9")
+    registry = daemon.harness.view.registry
+    registry.apply_listing([UPSTREAM, SPARE, samples.upstream("i-3")], 9, 0)
+    assert daemon.usable_ids == ["i-1", "i-2"]
+
+
 def test_a_pause_is_not_passed_on():
     (daemon,) = make_ring(1)
 
