Read numbers of searchers' headers with all their decimals

Cause: the codec accepted nine decimals at most and no exponent; any other value was logged as header_unreadable and counted as no limit, which also took back one that was read before.

Change: codecs.header_numbers reads each number of a searcher's header in every usual form: limit, pause, warm-up time, keep-alive timeout. What exceeds the largest sensible number is taken for that. A limit that is named but cannot be read leaves the last one in force, also through a relay. A keep-alive timeout of 0 is no longer taken for a missing one.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -10,6 +10,8 @@
 
 import httptools
 
+from citrondoor.codecs import header_numbers
+
 # Headers that are never forwarded: those that apply to one connection only,
 # `expect`, which the server answers itself, and `content-length`, which
 # `encode_request` and `encode_response` set anew.
@@ -59,6 +61,8 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}[ \r]")
 _LINE_END = re.compile(rb"[\r\n]")
 _HEAD_END = b"\r\n\r\n"
+# Longer timeouts of idle connections are taken for this one.
+_MAX_KEEP_ALIVE_S = 86_400
 # Looked for before the patterns, which takes less time.
 _PROTOCOL = b"HTTP/1."
 # Longer than a status line up to the status.
@@ -751,9 +755,12 @@
     if value is None:
         return None
     for part in value.split(b","):
-        name, _, number = part.strip().partition(b"=")
-        if name.lower() == b"timeout" and number.isdigit():
-            return int(number) * 1000
+        name, _, text = part.strip().partition(b"=")
+        if name.strip().lower() == b"timeout":
+            timeout_s = header_numbers.parse_decimal(
+                text.strip(), _MAX_KEEP_ALIVE_S
+            )
+            return None if timeout_s is None else int(timeout_s * 1000)
     return None
 
 
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -269,9 +269,12 @@
         is_new = statements.is_leaving and self._mark_leaving(
             upstream.id, upstream.born_ms
         )
-        is_answer = reply.outcome == links.ExchangeOutcome.ANSWERED
-        # Only an answer without a limit takes the limit back.
-        if statements.rate_limit_per_s is not None or is_answer:
+        # Only an answer that names no limit takes the limit back.
+        takes_limit_back = (
+            reply.outcome == links.ExchangeOutcome.ANSWERED
+            and not statements.is_rate_limit_unreadable
+        )
+        if statements.rate_limit_per_s is not None or takes_limit_back:
             had_limit = self._stated_rates.is_limited(upstream)
             self._record_rate(upstream, statements.rate_limit_per_s, "")
             is_new |= not had_limit and statements.rate_limit_per_s is not None
--- a/citrondoor/links/_http_searcher.py
+++ b/citrondoor/links/_http_searcher.py
@@ -441,9 +441,10 @@
         self.exchange = None
         self.replace_on_close = True
         exchange.deliver(exchange.token, result)
-        self.idle_limit_ms = (
-            http1.keep_alive_ms(response) or DEFAULT_KEEP_ALIVE_MS
-        ) - IDLE_MARGIN_MS
+        keep_alive_ms = http1.keep_alive_ms(response)
+        if keep_alive_ms is None:
+            keep_alive_ms = DEFAULT_KEEP_ALIVE_MS
+        self.idle_limit_ms = keep_alive_ms - IDLE_MARGIN_MS
         is_close_announced = (
             b"close" in (response.header_value(b"connection") or b"").lower()
         )
--- a/citrondoor/platform/_searcher_codec.py
+++ b/citrondoor/platform/_searcher_codec.py
@@ -2,12 +2,12 @@
 
 import http
 import math
-import re
 from collections.abc import Callable
 from collections.abc import Collection
 
 from citrondoor import clock as clocks
 from citrondoor import links
+from citrondoor.codecs import header_numbers
 from citrondoor.codecs import http1
 from citrondoor.platform import _headers
 from citrondoor.schema import messages
@@ -15,11 +15,11 @@
 # Longer pauses are taken for this one; a searcher that still wants none then
 # says so again.
 MAX_PAUSE_MS = 3_600_000
-# A longer warm-up time is malformed: messages to peers carry 31 bits.
-_MILLISECONDS = re.compile(rb"\d{1,9}")
+# Longer warm-up times are taken for this one, for the same reason.
+MAX_WARMUP_MS = 3_600_000
+# Far above the requests that any searcher can serve.
+MAX_RATE_PER_S = 999_999_999.0
 _SUCCESS_STATUSES = range(200, 300)
-# Neither a sign nor an exponent; nine digits are far above any real rate.
-_DECIMAL = re.compile(rb"\d{1,9}(\.\d{1,9})?")
 
 
 class PlatformSearcherCodec:
@@ -86,7 +86,10 @@
         if _headers.REQUEST_ID not in headers and stamp in recent_stamps:
             # A second copy of an earlier response. Stamps are unique.
             return links.ExchangeResult(links.ExchangeOutcome.FOREIGN)
-        cold_ms = _parse_ms(headers.get(_headers.WARMUP_REMAINING))
+        cold_ms = math.ceil(
+            self._decimal(headers, _headers.WARMUP_REMAINING, MAX_WARMUP_MS)
+            or 0
+        )
         is_misdirected = response.status == http.HTTPStatus.MISDIRECTED_REQUEST
         # A misdirected request is answered by another searcher.
         statements = (
@@ -133,29 +136,26 @@
         elif leaving is not None:
             self._on_unreadable(_headers.LEAVING, leaving)
         statements.rate_limit_per_s = self._decimal(
-            headers, _headers.RATE_LIMIT
+            headers, _headers.RATE_LIMIT, MAX_RATE_PER_S
+        )
+        statements.is_rate_limit_unreadable = (
+            _headers.RATE_LIMIT in headers
+            and statements.rate_limit_per_s is None
         )
         if status == http.HTTPStatus.SERVICE_UNAVAILABLE:
-            pause_s = self._decimal(headers, _headers.RETRY_AFTER) or 0
-            statements.pause_ms = min(
-                math.ceil(pause_s * clocks.MS_PER_S), MAX_PAUSE_MS
-            )
+            max_pause_s = MAX_PAUSE_MS / clocks.MS_PER_S
+            pause_s = self._decimal(headers, _headers.RETRY_AFTER, max_pause_s)
+            statements.pause_ms = math.ceil((pause_s or 0) * clocks.MS_PER_S)
         return statements
 
     def _decimal(
-        self, headers: dict[bytes, bytes], name: bytes
+        self, headers: dict[bytes, bytes], name: bytes, maximum: float
     ) -> float | None:
         """Returns a header's number; None if it is missing or unreadable."""
         value = headers.get(name)
-        if value is not None and _DECIMAL.fullmatch(value):
-            return float(value)
-        if value is not None:
+        if value is None:
+            return None
+        number = header_numbers.parse_decimal(value, maximum)
+        if number is None:
             self._on_unreadable(name, value)
-        return None
-
-
-def _parse_ms(value: bytes | None) -> int:
-    """Returns the number, or 0 if it is missing or malformed."""
-    if value is None or not _MILLISECONDS.fullmatch(value):
-        return 0
-    return int(value)
+        return number
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -372,6 +372,8 @@
   2: bool is_leaving = 0
   // Time for which it wants no request from the daemon that it answered, ms.
   3: i64 pause_ms = 0
+  // It names a limit that cannot be read, so that the last one still holds.
+  4: bool is_rate_limit_unreadable = 0
 }
 
 // What a daemon has learned of one incarnation of a searcher.
--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -87,6 +87,20 @@
     assert http1.end_to_end_headers(headers) == [(b"x-kept", b"2")]
 
 
+@pytest.mark.parametrize(
+    ("value", "timeout_ms"),
+    [
+        (b"timeout=0", 0),
+        (b"max=5, timeout = 2.5", 2500),
+        (b"timeout=" + b"9" * 900, 86_400_000),
+        (b"timeout=soon", None),
+    ],
+)
+def test_keep_alive_timeout_is_read_in_each_usual_form(value, timeout_ms):
+    response = http1.Response(200, [(b"keep-alive", value)], b"")
+    assert http1.keep_alive_ms(response) == timeout_ms
+
+
 def test_keep_alive_timeout_is_returned_in_ms():
     response = http1.Response(200, [(b"keep-alive", b"timeout=5, max=9")], b"")
     assert http1.keep_alive_ms(response) == 5000
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -566,6 +566,20 @@
     ]
 
 
+def test_a_limit_that_cannot_be_read_leaves_the_last_one_in_force():
+    # Guards against an unreadable header that takes back a limit.
+    searcher = samples.upstream("i-1")
+    harness = Harness(None, [], [searcher])
+    dispatcher = harness.dispatcher
+    dispatcher.record_statements(searcher, answered_with_limit(searcher, 2.0))
+    unreadable = answered_with_limit(searcher, None)
+    unreadable.statements.is_rate_limit_unreadable = True
+    dispatcher.record_statements(searcher, unreadable)
+    assert dispatcher._stated_rates.is_limited(searcher)
+    dispatcher.record_statements(searcher, answered_with_limit(searcher, None))
+    assert not dispatcher._stated_rates.is_limited(searcher)
+
+
 LIMITED = samples.upstream("limited")
 UNLIMITED = samples.upstream("unlimited")
 
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -157,6 +157,20 @@
     assert run(answer, body) == 1
 
 
+def test_a_connection_without_an_idle_timeout_is_not_reused():
+    # Guards against a timeout of 0 that is taken for a missing one.
+    async def answer_once(request, writer):
+        writer.write(encode_answer(request, extra=b"keep-alive: timeout=0\r\n"))
+
+    async def body(harness):
+        for token in range(3):
+            result = await harness.send(token)
+            assert result.outcome == OUTCOME.ANSWERED
+        return harness.searcher.connections
+
+    assert run(answer_once, body) == 3
+
+
 def test_requests_beyond_the_limit_wait_for_a_connection():
     async def answer_slowly(request, writer):
         await asyncio.sleep(0.03)
--- a/tests/platform/test_searcher_codec.py
+++ b/tests/platform/test_searcher_codec.py
@@ -76,6 +76,17 @@
     assert peers.decode(messages.RelayReply, peers.encode(reply)) == reply
 
 
+def test_a_warm_up_time_with_decimals_is_rounded_up():
+    header = (b"x-warmup-left", b"1499.5")
+    assert decode(200, STAMP_HEADER, header).cold_ms == 1500
+
+
+def test_an_unreadable_warm_up_time_is_reported():
+    UNREADABLE.clear()
+    decode(200, STAMP_HEADER, (b"x-warmup-left", b"soon"))
+    assert UNREADABLE == [(b"x-warmup-left", b"soon")]
+
+
 def decode_rate(*values):
     headers = [(b"server-limit", value) for value in values]
     result = decode(200, STAMP_HEADER, MATCHING_ID_HEADER, *headers)
@@ -89,6 +100,24 @@
     assert decode_rate(b"3", b"4") == 3
 
 
+def test_a_limit_is_decoded_with_all_its_decimals():
+    # Guards against a limit that has no effect, as it is written in full.
+    assert decode_rate(b"3.3333333333333335") == 10 / 3
+    assert decode_rate(b"1.0E1") == 10
+
+
+def test_a_limit_that_cannot_be_read_differs_from_none():
+    # Guards against a value that takes back the limit named before.
+    def decode_statements(*headers):
+        return decode(200, STAMP_HEADER, *headers).statements
+
+    assert not decode_statements().is_rate_limit_unreadable
+    assert not decode_statements(
+        (b"server-limit", b"3")
+    ).is_rate_limit_unreadable
+    assert decode_statements((b"server-limit", b"?")).is_rate_limit_unreadable
+
+
 def test_a_misdirected_request_tells_nothing_of_the_searcher():
     assert decode(421, (b"server-limit", b"3")).statements is None
 
@@ -125,6 +154,7 @@
 
     assert decode_pause(b"2") == 2000
     assert decode_pause(b"0.25") == 250
+    assert decode_pause(b"6.666666666666667") == 6667
     assert decode_pause(b"2", status=429) == 0
     assert decode_pause(b"999999999") == _searcher_codec.MAX_PAUSE_MS
     UNREADABLE.clear()
