Keep a searcher's limit while it cannot be used

Cause: each change of the view dropped the limits of all searchers that could not be used at that moment: evacuated, draining, or with an entry that lapsed.

Change: StatedRateLimiter.drop_old keeps a limit while its searcher is registered, used or not, and for ten minutes after.

Tests: test_a_limit_holds_after_an_evacuation_is_taken_back fails before; test_a_limit_outlives_the_entry_of_its_searcher_for_a_while covers the retention.

--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -172,6 +172,14 @@
         record = self._records.get(upstream_id)
         return None if record is None else record.upstream
 
+    def registered_ids(self) -> set[str]:
+        """Returns the ids of all searchers, usable or not."""
+        return {
+            upstream_id
+            for upstream_id, record in self._records.items()
+            if record.upstream is not None
+        }
+
     def all_usable_upstreams(self) -> list[serving.Upstream]:
         """Returns all searchers that may receive new work."""
         if self._usable_by_backend is None:
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -237,12 +237,14 @@
         """Discards the state of what is no longer in the view.
 
         These are searchers that are not usable, and routes and back ends that
-        the routes in force do not have.
+        the routes in force do not have. A limit that a searcher named outlives
+        the time in which it is not usable.
         """
         now = self._clock.now()
-        usable_ids = {u.id for u in self._view.registry.all_usable_upstreams()}
+        registry = self._view.registry
+        usable_ids = {u.id for u in registry.all_usable_upstreams()}
         self._replicas.retain_only(usable_ids, now)
-        self._stated_rates.retain_only(usable_ids)
+        self._stated_rates.drop_old(registry.registered_ids(), now)
         self._warmup_rate.retain_only(usable_ids)
         table = self._view.routes.table
         if table is not None:
--- a/citrondoor/fanout/_stated_rates.py
+++ b/citrondoor/fanout/_stated_rates.py
@@ -7,6 +7,8 @@
 other searchers of the back end; without one, the query does not wait.
 """
 
+from collections.abc import Collection
+
 from citrondoor import clock as clocks
 from citrondoor import rendezvous
 from citrondoor.limits import _token_bucket
@@ -19,6 +21,9 @@
 # All daemons together send at least at this rate, since only an answer shows
 # that a limit has changed or ended.
 MIN_RATE_PER_S = 0.5
+# Time for which a limit is kept once its searcher is not registered any more.
+# Its entry may lapse while it serves, and return with the limit still named.
+RETENTION_MS = 600_000
 
 
 class _Limit:
@@ -28,9 +33,11 @@
     does not grant a new burst.
     """
 
-    __slots__ = ("born_ms", "bucket", "rate_per_s")
+    __slots__ = ("born_ms", "bucket", "rate_per_s", "registered_at")
 
     def __init__(self, born_ms: int, now: int):
+        # Last time at which the searcher was known to be registered.
+        self.registered_at = now
         self.born_ms = born_ms
         self.bucket = _token_bucket.TokenBucket(now)
         self.rate_per_s: float | None = None
@@ -100,10 +107,21 @@
         self._resize(limit, now)
         return True
 
-    def retain_only(self, upstream_ids: set[str]) -> None:
-        """Drops the limits of all other searchers."""
-        for upstream_id in self._limits.keys() - upstream_ids:
-            del self._limits[upstream_id]
+    def drop_old(self, registered_ids: Collection[str], now: int) -> None:
+        """Drops the limits of searchers that are not registered any more.
+
+        A searcher that cannot be used for a while, as its zone is evacuated or
+        its entry has lapsed, is still limited when it can be used again.
+
+        Args:
+          registered_ids: Ids of the registered searchers, usable or not.
+          now: Clock reading.
+        """
+        for upstream_id, limit in list(self._limits.items()):
+            if upstream_id in registered_ids:
+                limit.registered_at = now
+            elif now - limit.registered_at > RETENTION_MS:
+                del self._limits[upstream_id]
 
     def is_limited(self, upstream: serving.Upstream) -> bool:
         """Returns whether a searcher has named a limit that still holds."""
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -580,6 +580,31 @@
     assert not dispatcher._stated_rates.is_limited(searcher)
 
 
+def make_evacuation_harness(searcher):
+    harness = Harness(None, [], [searcher])
+    harness.view.subscribe(harness.dispatcher.on_view_changed)
+
+    def set_evacuated(zones, revision):
+        harness.view.apply_store_contents(
+            entry.StoreContents(revision, None, [searcher], zones), revision
+        )
+
+    return harness, set_evacuated
+
+
+def test_a_limit_holds_after_an_evacuation_is_taken_back():
+    # Guards against a searcher that gets its full share again at once.
+    searcher = samples.upstream("i-1")
+    harness, set_evacuated = make_evacuation_harness(searcher)
+    dispatcher = harness.dispatcher
+    dispatcher.record_statements(searcher, answered_with_limit(searcher, 2.0))
+    set_evacuated(["a"], 2)
+    assert harness.view.registry.usable_upstreams("store") == []
+    set_evacuated([], 3)
+    assert harness.view.registry.usable_upstreams("store") == [searcher]
+    assert dispatcher._stated_rates.is_limited(searcher)
+
+
 LIMITED = samples.upstream("limited")
 UNLIMITED = samples.upstream("unlimited")
 
--- a/tests/fanout/test_stated_rates.py
+++ b/tests/fanout/test_stated_rates.py
@@ -6,6 +6,7 @@
 
 from citrondoor import clock as clocks
 from citrondoor import fanout
+from citrondoor.fanout import _stated_rates
 from tests import serving_samples as samples
 
 SEARCHER = samples.upstream("i-1")
@@ -104,10 +105,24 @@
         pass
     restarted = samples.upstream("i-1", born_ms=2)
     assert limiter.try_acquire(restarted, 0)
-    limiter.retain_only(set())
+    limiter.drop_old((), _stated_rates.RETENTION_MS + 1)
     assert limiter.try_acquire(SEARCHER, 0)
 
 
+def test_a_limit_outlives_the_entry_of_its_searcher_for_a_while():
+    # Guards against an entry that lapses and returns without the limit.
+    (limiter,) = make_cluster(1)
+    limiter.record_stated(SEARCHER, 1.0, 0)
+    limiter.drop_old((), 1)
+    assert limiter.is_limited(SEARCHER)
+    registered_at = 2 * _stated_rates.RETENTION_MS
+    limiter.drop_old(("i-1",), registered_at)
+    limiter.drop_old((), registered_at + _stated_rates.RETENTION_MS)
+    assert limiter.is_limited(SEARCHER)
+    limiter.drop_old((), registered_at + _stated_rates.RETENTION_MS + 1)
+    assert not limiter.is_limited(SEARCHER)
+
+
 def test_a_searcher_that_accepts_nothing_is_still_asked_now_and_then():
     # Otherwise nobody would hear that its limit has ended.
     (limiter,) = make_cluster(1)
