Give each change the revision of the page of the store that shows it

Cause: a reader gave all changes of a listing the revision of its first page. One that happened while the pages were read was then older than what other daemons knew, so they never received it, and the next listing raised the known revision past it. The log showed it: a report of revision 856 was logged with 843 and 888 by four daemons, and never by the fifth.

Change: discovery.ListingRevisions keeps the revision of each page. A change, or a missing entry, has the revision of its page; only that of the first page is claimed as known in full. The same for removals, for a first listing, for entries that were registered anew unseen, and for entries that a peer knows from a later page.

--- a/citrondoor/discovery/__init__.py
+++ b/citrondoor/discovery/__init__.py
@@ -1,7 +1,13 @@
 """Searchers registered in the platform's store, and evacuated zones."""
 
 from citrondoor.discovery._evacuated_zones import EvacuatedZones
+from citrondoor.discovery._listing_revisions import ListingRevisions
 from citrondoor.discovery._outages import StoreOutageDetector
 from citrondoor.discovery._registry import Registry
 
-__all__ = ["EvacuatedZones", "Registry", "StoreOutageDetector"]
+__all__ = [
+    "EvacuatedZones",
+    "ListingRevisions",
+    "Registry",
+    "StoreOutageDetector",
+]
--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -2,11 +2,15 @@
 
 Entries come from listings of the store and from peers, in any order. Each has a
 store revision at which it was current; the entry with the highest one counts.
+It is never lower than the revision of the change itself: a peer asks for what
+changed after the revision up to which it knows all changes, and would otherwise
+never receive this one.
 """
 
 from collections.abc import Callable
 
 from citrondoor.discovery import _departures
+from citrondoor.discovery import _listing_revisions
 from citrondoor.schema import serving
 
 # For this long after an outage of the store, searchers missing from a listing
@@ -238,35 +242,67 @@
         self._store_recovered_at = now
 
     def apply_listing(
-        self, upstreams: list[serving.Upstream], revision: int, now: int
+        self,
+        upstreams: list[serving.Upstream],
+        revision: int,
+        now: int,
+        revisions: _listing_revisions.ListingRevisions | None = None,
     ) -> None:
         """Applies a listing of all entries of the store.
 
         Searchers missing from the listing are removed. In the grace period
         after an outage they are kept, and the known revision stays unchanged. A
-        listing older than the known revision is ignored.
+        listing older than the known revision is ignored, and in other ones what
+        is older than the known state of a searcher.
 
         Args:
           upstreams: Entries that could be decoded. A searcher whose entry could
             not be decoded counts as missing.
-          revision: Revision of the store when the listing began.
+          revision: Revision of the store when the listing began, up to which
+            it holds all changes.
           now: Clock time in ms.
+          revisions: Revisions of the pages; None if all are of `revision`.
         """
         if revision < self._revision:
             return
+        if revisions is None:
+            revisions = _listing_revisions.ListingRevisions(revision)
         listed = {upstream.id for upstream in upstreams}
         for upstream in upstreams:
-            self._apply_entry(upstream, revision, now)
+            self._apply_listed(upstream, revisions, now)
         if not self._is_in_recovery_grace(now):
             for upstream_id, record in self._records.items():
-                if record.upstream is not None and upstream_id not in listed:
-                    self._remove(upstream_id, record, revision, now)
+                missing_at = revisions.revision_of(upstream_id)
+                if (
+                    record.upstream is not None
+                    and upstream_id not in listed
+                    and record.changed_at_revision <= missing_at
+                ):
+                    self._remove(upstream_id, record, missing_at, now)
             if self._revision < 0:
-                self._removals_known_after = revision
+                # Entries that were removed while the pages were read may never
+                # have been seen.
+                self._removals_known_after = revisions.newest
             self._advance(revision)
         self._drop_old_tombstones(now)
         self._departures.drop_old(self.find_registered, now)
 
+    def _apply_listed(
+        self,
+        upstream: serving.Upstream,
+        revisions: _listing_revisions.ListingRevisions,
+        now: int,
+    ) -> None:
+        revision = revisions.revision_of(upstream.id)
+        record = self._records.get(upstream.id)
+        known = -1 if record is None else record.changed_at_revision
+        if revision < known:
+            return
+        self._apply_entry(upstream, revision, now)
+        if revisions.created_at(upstream.id) > known:
+            # Its removal was not seen here, but may have been seen elsewhere.
+            self._records[upstream.id].changed_at_revision = revision
+
     def apply_updates(
         self,
         updates: list[serving.UpstreamNews],
@@ -296,6 +332,9 @@
                 continue
             if update.upstream is not None:
                 self._apply_entry(update.upstream, update.revision, now)
+                # Also if nothing differs: the searcher may have changed and
+                # changed back, which other daemons have to learn.
+                self._records[update.id].changed_at_revision = update.revision
             else:
                 self._apply_removal(update, record, now)
         if is_whole:
--- a/citrondoor/entry/_messages.py
+++ b/citrondoor/entry/_messages.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from citrondoor import discovery
 from citrondoor.codecs import http1
 from citrondoor.schema import messages
 from citrondoor.schema import serving
@@ -88,15 +89,23 @@
     """The contents of the platform's store, from one read.
 
     Args:
-      revision: Revision of the store when the read began; later changes may be
-        included.
+      revision: Revision of the store when the read began; some later changes
+        are included.
       routes: The configuration, or if it cannot be decoded, the newest one that
         could be, in an earlier read; None if there is none.
       upstreams: Searchers whose entries could be decoded.
       evacuated_zones: Availability zones whose searchers get no requests.
+      listing_revisions: At which revision each searcher was read; None if all
+        were read at `revision`.
     """
 
-    __slots__ = ("evacuated_zones", "revision", "routes", "upstreams")
+    __slots__ = (
+        "evacuated_zones",
+        "listing_revisions",
+        "revision",
+        "routes",
+        "upstreams",
+    )
 
     def __init__(
         self,
@@ -104,7 +113,9 @@
         routes: serving.RouteSet | None,
         upstreams: list[serving.Upstream],
         evacuated_zones: list[str],
+        listing_revisions: discovery.ListingRevisions | None = None,
     ):
+        self.listing_revisions = listing_revisions
         self.revision = revision
         self.routes = routes
         self.upstreams = upstreams
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -116,7 +116,12 @@
         self._offer_evacuated(
             contents.evacuated_zones, contents.revision, "store"
         )
-        self.registry.apply_listing(contents.upstreams, contents.revision, now)
+        self.registry.apply_listing(
+            contents.upstreams,
+            contents.revision,
+            now,
+            contents.listing_revisions,
+        )
         self._drop_tombstones()
         self._notify_if_changed(old_versions)
 
--- a/citrondoor/platform/_store.py
+++ b/citrondoor/platform/_store.py
@@ -7,6 +7,7 @@
 import urllib.parse
 
 from citrondoor import clock as clocks
+from citrondoor import discovery
 from citrondoor import entry
 from citrondoor import limits
 from citrondoor import links
@@ -133,8 +134,9 @@
         """
         try:
             items = page["items"]
-            if not reading.after_key:
-                reading.contents.revision = _revision(page["store-revision"])
+            revision = _revision(page["store-revision"])
+            if reading.contents is None:
+                reading.begin(revision)
             for item in items:
                 self._add_item(item, reading)
             reading.is_truncated = bool(page.get("truncated"))
@@ -144,6 +146,10 @@
                     f"the page after {reprlib.repr(reading.after_key)} ends at"
                     f" {reprlib.repr(last_key)} and is not the last one"
                 )
+            reading.contents.listing_revisions.add_page(
+                revision,
+                _last_searcher_id(last_key) if reading.is_truncated else None,
+            )
             reading.after_key = last_key
         except (AttributeError, KeyError, TypeError, ValueError) as error:
             raise self._client.make_error(
@@ -161,13 +167,15 @@
         contents = reading.contents
         if key.startswith(_SEARCHER_PREFIX):
             try:
-                upstream = decode_upstream(
-                    key.removeprefix(_SEARCHER_PREFIX), _decode_value(item)
-                )
+                upstream_id = key.removeprefix(_SEARCHER_PREFIX)
+                upstream = decode_upstream(upstream_id, _decode_value(item))
             except (KeyError, TypeError, ValueError) as error:
                 self._report_unreadable(item, error)
                 return
             contents.upstreams.append(upstream)
+            contents.listing_revisions.add_created(
+                upstream_id, _revision(item["created"])
+            )
             reading.kept_bytes += _ITEM_BYTES + len(item["value"])
         elif key.startswith(_EVACUATION_PREFIX):
             contents.evacuated_zones.append(
@@ -222,7 +230,7 @@
 
     Attributes:
       after_key: Last key of the last page.
-      contents: Contents of the pages read so far.
+      contents: Contents of the pages read so far; None before the first.
       has_given_way: Whether the account chose it to be dropped.
       holder: Its holder in the account.
       is_truncated: Whether there are further pages.
@@ -242,17 +250,33 @@
 
     def __init__(self, account: limits.MemoryAccount):
         self.after_key = ""
-        self.contents = entry.StoreContents(0, None, [], [])
+        self.contents: entry.StoreContents | None = None
         self.has_given_way = False
         self.holder = account.open(serving.Sender.STORE, self._give_way)
         self.is_truncated = True
         self.kept_bytes = 0
         self.max_bytes = int(account.max_bytes * _MAX_READ_SHARE)
 
+    def begin(self, revision: int) -> None:
+        """Begins with a first page, read at this revision of the store."""
+        self.contents = entry.StoreContents(
+            revision, None, [], [], discovery.ListingRevisions(revision)
+        )
+
     def _give_way(self) -> None:
         self.has_given_way = True
 
 
+def _last_searcher_id(last_key: str) -> str | None:
+    """Returns the id up to which searchers are in pages that end at a key.
+
+    It is empty if none is, and None if all are.
+    """
+    if last_key.startswith(_SEARCHER_PREFIX):
+        return last_key.removeprefix(_SEARCHER_PREFIX)
+    return "" if last_key < _SEARCHER_PREFIX else None
+
+
 def _decode_value(item: dict, max_bytes: int = _MAX_DECODED_BYTES) -> dict:
     try:
         value = bounded_json.decode(
--- a/tests/entry/test_view.py
+++ b/tests/entry/test_view.py
@@ -91,6 +91,18 @@
     assert len(view.registry.usable_upstreams("store")) == 2
 
 
+def test_an_evacuation_written_between_two_pages_reaches_all_daemons():
+    # Guards against a set of zones that is newer than its revision says.
+    reader, other_reader, peer = make_view(), make_view(), make_view()
+    other_reader.apply_store_contents(make_contents(5), 0)
+    peer.apply_updates(other_reader.updates_after(peer.stamp, 0), "b", 0)
+    # Its first page is of revision 5, and the zone was written at 6.
+    reader.apply_store_contents(make_contents(5, evacuated=["a"]), 0)
+    reader.apply_store_contents(make_contents(6, evacuated=["a"]), 10)
+    peer.apply_updates(reader.updates_after(peer.stamp, 10), "a", 10)
+    assert peer.evacuated_zones.zones == {"a"}
+
+
 def test_older_evacuations_do_not_replace_newer_ones():
     view = make_view()
     view.apply_store_contents(make_contents(8, 1, [], ["a"]), 0)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -61,13 +61,13 @@
 }
 
 
-def item(key, value, rev=1):
+def item(key, value, rev=1, created=1):
     data = value if isinstance(value, bytes) else orjson.dumps(value)
     return {
         "key": key,
         "value": base64.b64encode(data).decode(),
         "rev": rev,
-        "created": 1,
+        "created": created,
         "lease": 0,
     }
 
@@ -86,8 +86,13 @@
         self.page_items = page_items
         self.status = 200
         self.body: bytes | None = body
+        # Of each answer, in turn; the last one of all that follow.
+        self.revisions = [30]
 
     async def handle(self, request, disconnected):
+        revision = self.revisions[0]
+        if len(self.revisions) > 1:
+            del self.revisions[0]
         query = request.target.decode().partition("?")[2]
         after_key = dict(
             parameter.split("=") for parameter in query.split("&")
@@ -97,7 +102,7 @@
         page = {
             "items": remaining[: self.page_items],
             "truncated": len(remaining) > self.page_items,
-            "store-revision": 30,
+            "store-revision": revision,
         }
         body = self.body if self.body is not None else orjson.dumps(page)
         return http1.Response(self.status, [], body)
@@ -123,6 +128,41 @@
     return asyncio.run(body())
 
 
+def test_each_searcher_has_the_revision_of_its_page():
+    # Guards against changes between two pages that are taken for older ones.
+    fake = FakeStore(
+        [item(f"servers/i-{n}", REGISTRATION, created=n) for n in range(5)]
+        + [item("op/config", CONFIG), item("op/evacuate/b", {})]
+    )
+    fake.revisions = [30, 31, 33, 36]
+    contents, _ = read(fake)
+    assert contents.revision == 30
+    revisions = contents.listing_revisions
+    ids = ["i-0", "i-1", "i-2", "i-3", "i-4", "i-5"]
+    assert [revisions.revision_of(i) for i in ids] == [31, 31, 33, 33, 36, 36]
+    assert revisions.created_at("i-3") == 3
+
+
+def test_a_listing_with_keys_of_others_after_the_searchers_has_revisions():
+    fake = FakeStore(
+        [item(f"servers/i-{n}", REGISTRATION) for n in range(3)]
+        + [item(f"zones/{n}", {}) for n in range(3)]
+    )
+    fake.revisions = [30, 31, 33]
+    contents, _ = read(fake)
+    revisions = contents.listing_revisions
+    ids = ["i-0", "i-1", "i-2", "i-3"]
+    assert [revisions.revision_of(i) for i in ids] == [30, 30, 31, 31]
+
+
+def test_a_revision_that_falls_within_a_listing_is_an_error():
+    # The pages are of two histories of the store.
+    fake = FakeStore([item(f"servers/i-{n}", REGISTRATION) for n in range(5)])
+    fake.revisions = [30, 29]
+    with pytest.raises(errors.PlatformError, match="fell from 30 to 29"):
+        read(fake)
+
+
 def test_all_pages_of_a_listing_are_read():
     fake = FakeStore(
         [item(f"servers/i-{n}", REGISTRATION) for n in range(5)]
