Take a status that no response has for malformed bytes

Cause: the reader told interim responses by a status below 200, so it dropped 000 to 099 and waited for a final response.

Change: a status outside 100 to 599, an interim response with a body, and more than 16 interim responses are malformed, for searchers and the store. The request goes to another searcher or ends with 502 at once. A complete response before such bytes counts.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -44,6 +44,10 @@
 # Complete responses that one call of `feed` may return. A searcher sends one
 # for each request, and some send it twice.
 MAX_RESPONSES_AT_ONCE = 16
+# Interim responses (1xx) before the final one; servers send one or two.
+MAX_INTERIM_RESPONSES = 16
+# Those of RFC 9110; nothing else is the status of a response.
+_STATUSES = range(100, 600)
 # Memory of a header besides its bytes: two `bytes`, a tuple, a place in a list.
 _HEADER_OBJECT_BYTES = 170
 _HEADER_SEPARATOR_BYTES = 2
@@ -464,6 +468,7 @@
         "_has_length",
         "_head_bytes",
         "_headers",
+        "_interim_count",
         "_is_head_new",
         "_is_in_response",
         "_is_self_delimited",
@@ -488,6 +493,8 @@
         self.pieces = 0
         self._error: ProtocolError | None = None
         self._status = 0
+        # Interim responses since the last final one.
+        self._interim_count = 0
         self._reason = b""
         self._headers: Headers = []
         # Of the headers, trailers included.
@@ -632,6 +639,7 @@
             if name == b"content-length" and int(value) > self._max_body_bytes:
                 self._reject_body()
         self._has_length = b"content-length" in names
+        self._check_status(names)
         self._is_self_delimited = (
             self._has_length
             or b"transfer-encoding" in names
@@ -663,9 +671,25 @@
                 Response(self._status, self._headers, bytes(self._body))
             )
             self._meter.reset()
+            self._interim_count = 0
         self._status = 0
         self._reset()
 
+    def _check_status(self, names: set[bytes]) -> None:
+        """Rejects a status that no response has, and interim ones without end.
+
+        Taken for interim responses, these would leave the request waiting.
+        """
+        if self._status not in _STATUSES:
+            self._reject(f"the status {self._status:03}")
+        if self._status >= http.HTTPStatus.OK:
+            return
+        if self._has_length or b"transfer-encoding" in names:
+            self._reject("an interim response with a body")
+        self._interim_count += 1
+        if self._interim_count > MAX_INTERIM_RESPONSES:
+            self._reject(f"over {MAX_INTERIM_RESPONSES} interim responses")
+
     def _reset(self) -> None:
         self._is_in_response = False
         self._headers = []
@@ -694,8 +718,11 @@
             following = data[self._new_body_bytes :]
         else:
             _, _, following = data.partition(_HEAD_END + body)
-        seam = body[-_STATUS_LINE_BYTES:] + following[:_STATUS_LINE_BYTES]
-        if self._responses[-1].may_be_spliced or _STATUS_LINE.search(seam):
+        tail = body[-_STATUS_LINE_BYTES:]
+        start = _STATUS_LINE.search(tail + following[:_STATUS_LINE_BYTES])
+        # One that begins after the body belongs to a further response.
+        is_start_in_body = start is not None and start.start() < len(tail)
+        if self._responses[-1].may_be_spliced or is_start_in_body:
             self._responses.pop()
 
     def _reject_body(self) -> None:
--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -545,3 +545,61 @@
         b"GET / HTTP/1.1\r\n" + b"a: b\r\n" * 400 + b"\r\n"
     )
     assert len(request.headers) == 400
+
+
+FRAMINGS = {
+    "length": b"content-length: 1\r\n\r\nx",
+    "no length": b"\r\nx",
+    "chunks": b"transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+}
+
+
+def read_response(data, piece_bytes):
+    reader = http1.ResponseReader()
+    responses = []
+    for start in range(0, len(data), piece_bytes):
+        responses += reader.feed(data[start : start + piece_bytes])
+    final = reader.finish()
+    return responses if final is None else [*responses, final]
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 9999])
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("status", [b"000", b"001", b"099", b"600", b"999"])
+def test_what_has_a_status_of_no_response_is_none(status, framing, piece_bytes):
+    # Guards against a status of 000 that is taken for an interim response, so
+    # that the request waits, and against one that is passed on.
+    data = b"HTTP/1.1 %b Odd\r\n" % status + FRAMINGS[framing]
+    with pytest.raises(http1.ProtocolError, match=status.decode()):
+        read_response(data, piece_bytes)
+
+
+def test_a_response_before_one_with_an_odd_status_counts():
+    reader = http1.ResponseReader()
+    with pytest.raises(http1.ProtocolError):
+        reader.feed(
+            b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx"
+            b"HTTP/1.1 000 Odd\r\n\r\n"
+        )
+    assert [response.status for response in reader.take_responses()] == [200]
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 9999])
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+@pytest.mark.parametrize("status", [b"100", b"103", b"199"])
+def test_an_interim_response_has_no_body(status, framing, piece_bytes):
+    # Guards against an answer that is dropped as an interim one.
+    data = b"HTTP/1.1 %b Odd\r\n" % status + FRAMINGS[framing]
+    with pytest.raises(http1.ProtocolError):
+        read_response(data, piece_bytes)
+
+
+def test_a_few_interim_responses_are_skipped_and_more_are_malformed():
+    # Guards against interim responses without end.
+    interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+    final = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nx"
+    allowed = interim * http1.MAX_INTERIM_RESPONSES + final
+    responses = read_response(allowed * 2, 9999)
+    assert [response.status for response in responses] == [200, 200]
+    with pytest.raises(http1.ProtocolError, match="interim"):
+        read_response(interim + allowed, 9999)
--- a/tests/links/test_http_searcher.py
+++ b/tests/links/test_http_searcher.py
@@ -1188,3 +1188,37 @@
         return harness.malformed
 
     assert run(behave, body) == []
+
+
+@pytest.mark.parametrize("status", [b"000", b"099", b"600"])
+def test_an_answer_with_a_status_of_no_response_ends_its_request_at_once(
+    status,
+):
+    # Guards against a request that waits for its deadline, and against a status
+    # that reaches the caller.
+    async def answer_oddly(request, writer):
+        answered = encode_answer(request)
+        writer.write(answered.replace(b" 200 OK", b" %b Odd" % status))
+
+    async def body(harness):
+        async with asyncio.timeout(1):
+            return await harness.send(1), harness.malformed
+
+    result, malformed = run(answer_oddly, body)
+    assert (result.outcome, result.response) == (OUTCOME.BROKEN, None)
+    assert result.is_broken_off
+    assert len(malformed) == 1
+    assert f"the status {status.decode()}" in malformed[0]
+
+
+def test_interim_answers_without_end_end_their_request_at_once():
+    # Guards against a request that waits for its deadline.
+    async def answer_never(request, writer):
+        for _ in range(http1.MAX_INTERIM_RESPONSES + 1):
+            writer.write(b"HTTP/1.1 102 Processing\r\n\r\n")
+
+    async def body(harness):
+        async with asyncio.timeout(1):
+            return await harness.send(1)
+
+    assert run(answer_never, body).outcome == OUTCOME.BROKEN
--- a/tests/links/test_json_client.py
+++ b/tests/links/test_json_client.py
@@ -76,6 +76,19 @@
     assert peak_bytes < 100_000_000
 
 
+@pytest.mark.parametrize("status", [b"000", b"600"])
+def test_a_response_with_a_status_of_no_response_fails_at_once(status):
+    # Guards against a read of the store that waits for its time limit.
+    head = b"HTTP/1.1 %b Odd\r\ncontent-length: 2\r\n\r\n{}" % status
+
+    async def body():
+        async with serve(head, b"", 0) as port, asyncio.timeout(2):
+            with pytest.raises(errors.PlatformError, match=status.decode()):
+                await make_client(port).get("/")
+
+    asyncio.run(body())
+
+
 def test_overlapping_responses_give_way_to_the_limit_of_all_messages():
     async def body():
         account = limits.MemoryAccount(2_000_000)
