Tell peers of entries that this daemon never saw

Change: a daemon sends all changes after the last revision that it knew in full and that is not above the peer's, and says which (listed_after). A searcher that was created later and is not among them is gone. Entries carry the revision at which they were created.

Test that failed before: test_an_entry_that_its_peer_never_saw_is_gone.

--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -8,9 +8,11 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from citrondoor.discovery import _departures
 from citrondoor.discovery import _listing_revisions
+from citrondoor.discovery import _revision_history
 from citrondoor.schema import serving
 
 # For this long after an outage of the store, searchers missing from a listing
@@ -35,6 +37,7 @@
     __slots__ = (
         "changed_at_revision",
         "cold_until",
+        "created_revision",
         "removed_at",
         "upstream",
     )
@@ -42,6 +45,8 @@
     def __init__(self, upstream: serving.Upstream | None, revision: int):
         self.upstream = upstream
         self.changed_at_revision = revision
+        # Revision at which the entry was created; -1 if unknown.
+        self.created_revision = -1
         self.cold_until = 0
         self.removed_at = 0
 
@@ -57,6 +62,7 @@
         "_behind_since",
         "_departures",
         "_evacuated",
+        "_history",
         "_listener",
         "_live_bytes",
         "_records",
@@ -72,6 +78,7 @@
         self._listener = listener
         self._records: dict[str, _Record] = {}
         self._departures = _departures.Departures()
+        self._history = _revision_history.RevisionHistory()
         # Estimated memory of searchers and of tombstones.
         self._live_bytes = 0
         self._tombstone_bytes = 0
@@ -299,9 +306,17 @@
         if revision < known:
             return
         self._apply_entry(upstream, revision, now)
-        if revisions.created_at(upstream.id) > known:
+        created_revision = revisions.created_at(upstream.id)
+        if created_revision > known:
             # Its removal was not seen here, but may have been seen elsewhere.
             self._records[upstream.id].changed_at_revision = revision
+        self._set_created(upstream.id, created_revision)
+
+    def _set_created(self, upstream_id: str, revision: int) -> None:
+        record = self._records[upstream_id]
+        if record.created_revision != revision:
+            record.created_revision = revision
+            self._history.add_created(upstream_id, revision)
 
     def apply_updates(
         self,
@@ -310,6 +325,7 @@
         now: int,
         removals_known_after: int = -1,
         is_whole: bool = False,
+        listed_after: int | None = None,
     ) -> None:
         """Applies a peer's changes.
 
@@ -324,6 +340,8 @@
           removals_known_after: Store revision after which no removal is
             missing.
           is_whole: Whether these are all searchers that the peer knows.
+          listed_after: Store revision after which these are all searchers that
+            were registered; None if unknown.
         """
         for update in updates:
             record = self._records.get(update.id)
@@ -335,10 +353,18 @@
                 # Also if nothing differs: the searcher may have changed and
                 # changed back, which other daemons have to learn.
                 self._records[update.id].changed_at_revision = update.revision
+                if update.created_revision is not None:
+                    self._set_created(update.id, update.created_revision)
             else:
                 self._apply_removal(update, record, now)
+        listed = {update.id for update in updates}
+        if listed_after is not None:
+            # Registered and removed again between two readings of the peer.
+            self._remove_unlisted(
+                self._history.created_after(listed_after), listed, revision, now
+            )
         if is_whole:
-            self._remove_unlisted({u.id for u in updates}, revision, now)
+            self._remove_unlisted(self._records, listed, revision, now)
         elif 0 <= self._revision < removals_known_after:
             if self._behind_since is None:
                 self._behind_since = now
@@ -363,20 +389,41 @@
 
     def _advance(self, revision: int) -> None:
         self._revision = revision
+        self._history.advance(revision)
         self._behind_since = None
 
     def _remove_unlisted(
-        self, listed: set[str], revision: int, now: int
+        self,
+        upstream_ids: Iterable[str],
+        listed: set[str],
+        revision: int,
+        now: int,
     ) -> None:
         """Removes searchers that were gone at a revision of the store."""
-        for upstream_id, record in self._records.items():
+        for upstream_id in upstream_ids:
+            record = self._records.get(upstream_id)
             if (
-                record.upstream is not None
+                record is not None
+                and record.upstream is not None
                 and upstream_id not in listed
                 and record.changed_at_revision <= revision
             ):
                 self._remove(upstream_id, record, revision, now)
 
+    def listed_after(self, revision: int) -> int | None:
+        """Returns from which revision on changes are to be sent to a peer.
+
+        It is the last one that was known here in full and is not above the
+        peer's: what was registered and removed since may be unknown here.
+
+        Args:
+          revision: Revision that the peer knows in full.
+
+        Returns:
+          The revision, or None if none was that low or it was too long ago.
+        """
+        return self._history.last_known(revision)
+
     def changes_after(
         self, revision: int, now: int
     ) -> list[serving.UpstreamNews]:
@@ -386,6 +433,9 @@
                 upstream_id,
                 record.changed_at_revision,
                 self._update_remaining_warmup(record, now),
+                None
+                if record.created_revision < 0
+                else record.created_revision,
             )
             for upstream_id, record in self._records.items()
             if record.changed_at_revision > revision
@@ -453,6 +503,7 @@
         self._live_bytes -= _estimate(record.upstream)
         self._tombstone_bytes += _tombstone_size(upstream_id)
         record.upstream = None
+        record.created_revision = -1
         record.changed_at_revision = revision
         record.removed_at = now
         self._on_usable_changed()
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -161,6 +161,7 @@
             if updates.removals_known_after is None
             else updates.removals_known_after,
             is_whole,
+            updates.listed_after,
         )
         self._drop_tombstones()
         self._notify_if_changed(old_versions)
@@ -180,12 +181,17 @@
         evacuated = None
         if known.evacuation_revision < stamp.evacuation_revision:
             evacuated = sorted(self.evacuated_zones.zones)
+        listed_after = self.registry.listed_after(known.upstream_revision)
+        changed_after = (
+            known.upstream_revision if listed_after is None else listed_after
+        )
         return serving.ViewNews(
             stamp,
             table.route_set if table is not None and has_older_routes else None,
-            self.registry.changes_after(known.upstream_revision, now),
+            self.registry.changes_after(changed_after, now),
             evacuated,
             self.registry.removals_known_after,
+            listed_after,
         )
 
     def _check_size(
--- a/schema/serving.thrift
+++ b/schema/serving.thrift
@@ -86,6 +86,8 @@
   // Revision of the store at which it had this state.
   2: required i64 revision
   3: optional Upstream upstream
+  // Revision at which its entry was created; unset if that is unknown.
+  4: optional i64 created_revision
 }
 
 struct ViewStamp {
@@ -107,6 +109,11 @@
   // the requester's view is older, a removal may be missing. Unset by daemons of
   // older versions.
   5: optional i64 removals_known_after
+  // `upstreams` holds all changes after this revision, which is not above that
+  // of the requester's view. A searcher that was registered after it and is not
+  // listed is not registered at the revision of `stamp`. Unset if the sender
+  // does not know such a revision, and by daemons of older versions.
+  6: optional i64 listed_after
 }
 
 // Endpoint of a daemon.
--- a/tests/discovery/test_registry_pages.py
+++ b/tests/discovery/test_registry_pages.py
@@ -84,6 +84,8 @@
 
     def pull(self, source, now, is_whole=False):
         known = -1 if is_whole else self.registry.revision
+        listed_after = source.listed_after(known)
+        changed_after = known if listed_after is None else listed_after
         # A peer's changes arrive as copies.
         updates = [
             serving.UpstreamNews(
@@ -91,8 +93,9 @@
                 update.revision,
                 update.upstream
                 and samples.upstream(update.id, state=update.upstream.state),
+                update.created_revision,
             )
-            for update in source.changes_after(known, now)
+            for update in source.changes_after(changed_after, now)
         ]
         self.registry.apply_updates(
             updates,
@@ -100,6 +103,7 @@
             now,
             source.removals_known_after,
             is_whole,
+            listed_after,
         )
 
     def state(self, upstream_id):
@@ -282,3 +286,24 @@
     peer.pull(restarted.registry, 4)
     peer.assert_up_to_date()
     assert peer.registry.behind_since == 4
+
+
+def test_an_entry_that_its_peer_never_saw_is_gone():
+    # Guards against a searcher that one reader sees for a moment, while the
+    # other reader, which peers ask later, never does.
+    store = make_full_store()
+    store.change("i-0", None)
+    reader, other_reader, peer = (Daemon(store) for _ in range(3))
+    for daemon in (reader, other_reader):
+        read_whole(daemon, 0)
+    store.change("i-0", samples.READY)
+    read_whole(other_reader, 1)
+    peer.pull(other_reader.registry, 2)
+    assert peer.state("i-0") == samples.READY
+    store.change("i-0", None)
+    read_whole(reader, 3)
+    peer.pull(reader.registry, 4)
+    assert peer.state("i-0") is None
+    # The removal reaches daemons behind this one as well.
+    other_reader.pull(peer.registry, 5)
+    assert other_reader.state("i-0") is None
