Remove blanks after the value of a header

A searcher's "Server-Limit: 3.5 " was unreadable, an id with a blank after it belonged to no request, and a caller's "Host: h " had no route.

Cause: the parser removes the blanks before a value and leaves those after it, which are no part of it either (RFC 9110, 5.5).

Change: both readers remove them.

Test that failed before: test_blanks_around_the_value_of_a_header_are_no_part_of_it.

--- a/citrondoor/codecs/http1.py
+++ b/citrondoor/codecs/http1.py
@@ -64,6 +64,9 @@
 # another response.
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}[ \r]")
 _LINE_END = re.compile(rb"[\r\n]")
+# They may follow the value of a header and are no part of it; the parser only
+# removes those before it.
+_BLANKS = b" \t"
 _HEAD_END = b"\r\n\r\n"
 # Longer timeouts of idle connections are taken for this one.
 _MAX_KEEP_ALIVE_S = 86_400
@@ -403,7 +406,7 @@
         self._header_bytes += len(name) + len(value) + 4
         if self._header_bytes > self._max_bytes[0]:
             self._reject(431, f"a head over {self._max_bytes[0]} bytes")
-        self._headers.append((name.lower(), value))
+        self._headers.append((name.lower(), value.rstrip(_BLANKS)))
 
     def on_headers_complete(self) -> None:
         """Reads how the body ends; called by the parser."""
@@ -623,7 +626,7 @@
         self.pieces += 1
         if _PROTOCOL in value:
             self._check_is_no_start(value)
-        self._headers.append((name.lower(), value))
+        self._headers.append((name.lower(), value.rstrip(_BLANKS)))
         self._head_bytes += len(name) + len(value) + _HEADER_SEPARATOR_BYTES
         if self._head_bytes > MAX_RESPONSE_HEAD_BYTES:
             self._reject(f"over {MAX_RESPONSE_HEAD_BYTES} bytes of headers")
--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -603,3 +603,24 @@
     assert [response.status for response in responses] == [200, 200]
     with pytest.raises(http1.ProtocolError, match="interim"):
         read_response(interim + allowed, 9999)
+
+
+BLANKS_AROUND = b"x-a: \t 3.5 \t \r\nx-b:\r\nx-c: a b \r\n\r\n"
+
+
+@pytest.mark.parametrize("piece_bytes", [1, 9999])
+def test_blanks_around_the_value_of_a_header_are_no_part_of_it(piece_bytes):
+    # Guards against a number, an id or a host that does not match for a blank.
+    expected = [b"3.5", b"", b"a b"]
+    (response,) = read_response(
+        b"HTTP/1.1 200 OK\r\ncontent-length: 0 \r\n" + BLANKS_AROUND,
+        piece_bytes,
+    )
+    assert [value for _, value in response.headers[1:]] == expected
+    reader = http1.RequestReader(9999, 9999)
+    data = b"GET / HTTP/1.1\r\nhost: h \r\n" + BLANKS_AROUND
+    requests = []
+    for start in range(0, len(data), piece_bytes):
+        requests += reader.feed(data[start : start + piece_bytes])
+    (request,) = requests
+    assert [value for _, value in request.headers] == [b"h", *expected]
