Count the retention of statements from when the searcher is gone

The time counted from the last change of the view with the searcher, or, on a daemon that does not read the store, from its statement. Where nothing had changed for longer than the retention, a limit or a departure was dropped as soon as the entry lapsed. Shown by the two tests of the retention, which set the clock so now and failed before.

--- a/citrondoor/discovery/_departures.py
+++ b/citrondoor/discovery/_departures.py
@@ -23,18 +23,18 @@
     All `now` arguments are clock readings in milliseconds.
     """
 
-    __slots__ = ("_id_bytes", "_known_at")
+    __slots__ = ("_gone_since", "_id_bytes")
 
     def __init__(self):
-        # Id and start of the process in Unix ms, to the last time at which it
-        # was registered, or at which it said that it is leaving.
-        self._known_at: dict[tuple[str, int], int] = {}
+        # Id and start of the process in Unix ms, to the time since which it is
+        # not registered; None if it is.
+        self._gone_since: dict[tuple[str, int], int | None] = {}
         self._id_bytes = 0
 
     @property
     def kept_bytes(self) -> int:
         """Estimate of the memory of all departures."""
-        return self._id_bytes + len(self._known_at) * _DEPARTURE_BYTES
+        return self._id_bytes + len(self._gone_since) * _DEPARTURE_BYTES
 
     def add(self, upstream_id: str, born_ms: int, now: int) -> bool:
         """Adds an incarnation, and drops the first one if there are too many.
@@ -43,17 +43,17 @@
           Whether it was not known.
         """
         key = (upstream_id, born_ms)
-        if key in self._known_at:
+        if key in self._gone_since:
             return False
-        if len(self._known_at) >= MAX_DEPARTURES:
-            self._drop(next(iter(self._known_at)))
-        self._known_at[key] = now
+        if len(self._gone_since) >= MAX_DEPARTURES:
+            self._drop(next(iter(self._gone_since)))
+        self._gone_since[key] = now
         self._id_bytes += len(upstream_id)
         return True
 
     def includes(self, upstream: serving.Upstream) -> bool:
         """Returns whether this incarnation said that it is leaving."""
-        return (upstream.id, upstream.born_ms) in self._known_at
+        return (upstream.id, upstream.born_ms) in self._gone_since
 
     def drop_old(self, find_registered, now: int) -> None:
         """Drops those whose searchers have not been registered for long.
@@ -62,13 +62,15 @@
           find_registered: Returns the registered searcher with an id, or None.
           now: Clock reading.
         """
-        for key, known_at in list(self._known_at.items()):
+        for key, gone_since in list(self._gone_since.items()):
             upstream = find_registered(key[0])
             if upstream is not None and upstream.born_ms == key[1]:
-                self._known_at[key] = now
-            elif now - known_at > RETENTION_MS:
+                self._gone_since[key] = None
+            elif gone_since is None:
+                self._gone_since[key] = now
+            elif now - gone_since > RETENTION_MS:
                 self._drop(key)
 
     def _drop(self, key: tuple[str, int]) -> None:
-        del self._known_at[key]
+        del self._gone_since[key]
         self._id_bytes -= len(key[0])
--- a/citrondoor/fanout/_stated_rates.py
+++ b/citrondoor/fanout/_stated_rates.py
@@ -33,11 +33,11 @@
     does not grant a new burst.
     """
 
-    __slots__ = ("born_ms", "bucket", "rate_per_s", "registered_at")
+    __slots__ = ("born_ms", "bucket", "gone_since", "rate_per_s")
 
     def __init__(self, born_ms: int, now: int):
-        # Last time at which the searcher was known to be registered.
-        self.registered_at = now
+        # Time since which the searcher is not registered; None if it is.
+        self.gone_since: int | None = None
         self.born_ms = born_ms
         self.bucket = _token_bucket.TokenBucket(now)
         self.rate_per_s: float | None = None
@@ -119,8 +119,10 @@
         """
         for upstream_id, limit in list(self._limits.items()):
             if upstream_id in registered_ids:
-                limit.registered_at = now
-            elif now - limit.registered_at > RETENTION_MS:
+                limit.gone_since = None
+            elif limit.gone_since is None:
+                limit.gone_since = now
+            elif now - limit.gone_since > RETENTION_MS:
                 del self._limits[upstream_id]
 
     def is_limited(self, upstream: serving.Upstream) -> bool:
--- a/tests/discovery/test_departures.py
+++ b/tests/discovery/test_departures.py
@@ -21,11 +21,13 @@
     departures = _departures.Departures()
     departures.add("i-1", 1, 0)
     registered = {"i-1": samples.upstream("i-1")}
-    long_after = 3 * _departures.RETENTION_MS
-    departures.drop_old(registered.get, long_after)
-    departures.drop_old({}.get, long_after + _departures.RETENTION_MS)
+    departures.drop_old(registered.get, 0)
+    # Nothing was listed for long before the entry was removed.
+    gone_at = 3 * _departures.RETENTION_MS
+    departures.drop_old({}.get, gone_at)
+    departures.drop_old({}.get, gone_at + _departures.RETENTION_MS)
     assert departures.includes(registered["i-1"])
-    departures.drop_old({}.get, long_after + _departures.RETENTION_MS + 1)
+    departures.drop_old({}.get, gone_at + _departures.RETENTION_MS + 1)
     assert not departures.includes(registered["i-1"])
     assert departures.kept_bytes == 0
 
--- a/tests/fanout/test_stated_rates.py
+++ b/tests/fanout/test_stated_rates.py
@@ -105,6 +105,7 @@
         pass
     restarted = samples.upstream("i-1", born_ms=2)
     assert limiter.try_acquire(restarted, 0)
+    limiter.drop_old((), 0)
     limiter.drop_old((), _stated_rates.RETENTION_MS + 1)
     assert limiter.try_acquire(SEARCHER, 0)
 
@@ -113,13 +114,16 @@
     # Guards against an entry that lapses and returns without the limit.
     (limiter,) = make_cluster(1)
     limiter.record_stated(SEARCHER, 1.0, 0)
-    limiter.drop_old((), 1)
+    # Nothing in the view changed for long before the entry lapsed.
+    gone_at = 2 * _stated_rates.RETENTION_MS
+    limiter.drop_old((), gone_at)
+    limiter.drop_old((), gone_at + _stated_rates.RETENTION_MS)
     assert limiter.is_limited(SEARCHER)
-    registered_at = 2 * _stated_rates.RETENTION_MS
-    limiter.drop_old(("i-1",), registered_at)
-    limiter.drop_old((), registered_at + _stated_rates.RETENTION_MS)
+    limiter.drop_old(("i-1",), gone_at + _stated_rates.RETENTION_MS + 1)
+    gone_at *= 2
+    limiter.drop_old((), gone_at)
     assert limiter.is_limited(SEARCHER)
-    limiter.drop_old((), registered_at + _stated_rates.RETENTION_MS + 1)
+    limiter.drop_old((), gone_at + _stated_rates.RETENTION_MS + 1)
     assert not limiter.is_limited(SEARCHER)
 
 
