Let a daemon that starts take over how far back its view reaches

Found by the random test with 20,000 orders (132 s) on the code before: a daemon that had just received its view from a peer had nothing to compare the request of another one with, and did not tell it of an entry that its source never saw.

Change: the reply to a daemon without a view says since which revision the sender has known everything (known_since).

Test: test_a_new_daemon_tells_of_entries_that_its_source_never_saw.

--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -105,6 +105,11 @@
         """
         return self._removals_known_after
 
+    @property
+    def known_since(self) -> int | None:
+        """Lowest revision known to have been complete; None before one was."""
+        return self._history.known_since
+
     @property
     def behind_since(self) -> int | None:
         """Clock time of the first incomplete update since a complete one."""
@@ -326,6 +331,7 @@
         removals_known_after: int = -1,
         is_whole: bool = False,
         listed_after: int | None = None,
+        known_since: int | None = None,
     ) -> None:
         """Applies a peer's changes.
 
@@ -342,6 +348,8 @@
           is_whole: Whether these are all searchers that the peer knows.
           listed_after: Store revision after which these are all searchers that
             were registered; None if unknown.
+          known_since: Lowest revision that the peer has known in full. A daemon
+            without a view takes over what the peer knows, and so this as well.
         """
         for update in updates:
             record = self._records.get(update.id)
@@ -369,6 +377,8 @@
             if self._behind_since is None:
                 self._behind_since = now
             return
+        if self._revision < 0 and known_since is not None:
+            self._history.advance(known_since)
         if self._revision < 0 or is_whole:
             self._removals_known_after = removals_known_after
         self._advance(max(self._revision, revision))
--- a/citrondoor/discovery/_revision_history.py
+++ b/citrondoor/discovery/_revision_history.py
@@ -28,6 +28,11 @@
         # Revision of the creation and id of each entry, in ascending order.
         self._created: list[tuple[int, str]] = []
 
+    @property
+    def known_since(self) -> int | None:
+        """The lowest known revision; None before the first."""
+        return self._known[0] if self._known else None
+
     def advance(self, revision: int) -> None:
         """Adds a revision up to which all changes are known now."""
         if self._known and revision <= self._known[-1]:
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -162,6 +162,7 @@
             else updates.removals_known_after,
             is_whole,
             updates.listed_after,
+            updates.known_since,
         )
         self._drop_tombstones()
         self._notify_if_changed(old_versions)
@@ -192,6 +193,7 @@
             evacuated,
             self.registry.removals_known_after,
             listed_after,
+            self.registry.known_since if known.upstream_revision < 0 else None,
         )
 
     def _check_size(
--- a/schema/serving.thrift
+++ b/schema/serving.thrift
@@ -114,6 +114,9 @@
   // listed is not registered at the revision of `stamp`. Unset if the sender
   // does not know such a revision, and by daemons of older versions.
   6: optional i64 listed_after
+  // Lowest revision that the sender remembers to have known in full. Set if the
+  // requester has no view yet.
+  7: optional i64 known_since
 }
 
 // Endpoint of a daemon.
--- a/tests/discovery/test_registry_pages.py
+++ b/tests/discovery/test_registry_pages.py
@@ -104,6 +104,7 @@
             source.removals_known_after,
             is_whole,
             listed_after,
+            source.known_since if known < 0 else None,
         )
 
     def state(self, upstream_id):
@@ -307,3 +308,19 @@
     # The removal reaches daemons behind this one as well.
     other_reader.pull(peer.registry, 5)
     assert other_reader.state("i-0") is None
+
+
+def test_a_new_daemon_tells_of_entries_that_its_source_never_saw():
+    # Guards against the same by way of a daemon that has just started.
+    store = make_full_store()
+    store.change("i-0", None)
+    reader, other_reader, restarted = (Daemon(store) for _ in range(3))
+    read_whole(reader, 0)
+    store.change("i-0", samples.READY)
+    read_whole(other_reader, 1)
+    store.change("i-0", None)
+    read_whole(reader, 2)
+    restarted.pull(reader.registry, 3)
+    other_reader.pull(restarted.registry, 4)
+    other_reader.assert_up_to_date()
+    assert other_reader.registry.revision == store.revision
