Count only registered searchers of a peer's list as listed

Found by the random test with four daemons, three readers and 12,000 orders (39 s): a searcher that was removed, registered again and removed again stayed in use where the first removal was listed, though the peer knew that it was gone at the end.

Change: a removal in the list does not keep the searcher.

Test that failed before: test_an_older_removal_does_not_hide_a_later_one.

--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -365,7 +365,10 @@
                     self._set_created(update.id, update.created_revision)
             else:
                 self._apply_removal(update, record, now)
-        listed = {update.id for update in updates}
+        # An older removal does not tell that its searcher is registered again.
+        listed = {
+            update.id for update in updates if update.upstream is not None
+        }
         if listed_after is not None:
             # Registered and removed again between two readings of the peer.
             self._remove_unlisted(
--- a/tests/discovery/test_registry_pages.py
+++ b/tests/discovery/test_registry_pages.py
@@ -324,3 +324,26 @@
     other_reader.pull(restarted.registry, 4)
     other_reader.assert_up_to_date()
     assert other_reader.registry.revision == store.revision
+
+
+def test_an_older_removal_does_not_hide_a_later_one():
+    # Guards against a searcher that is kept as its first removal is listed.
+    store = make_full_store()
+    reader, other_reader, restarted = (Daemon(store) for _ in range(3))
+    read_whole(reader, 0)
+    store.change("i-0", None)
+    read_whole(reader, 1)
+    store.change("i-0", samples.READY)
+    read_whole(other_reader, 2)
+    store.change("i-0", None)
+    read_whole(reader, 3)
+    restarted.pull(reader.registry, 4)
+    other_reader.pull(restarted.registry, 5)
+    assert other_reader.state("i-0") is None
+    for is_whole in (False, True):
+        store.change("i-0", samples.READY)
+        read_whole(other_reader, 6)
+        store.change("i-0", None)
+        read_whole(reader, 7)
+        other_reader.pull(reader.registry, 8, is_whole)
+        assert other_reader.state("i-0") is None
