Play listings of several pages with real daemons

The stand-in store gave all entries in one page at one moment, which is why no test saw changes between two pages. It now has pages, a time for each answer and the revision at which an entry was created; the soak uses five entries a page.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -8,6 +8,7 @@
 import random
 import socket
 import sys
+import urllib.parse
 
 import orjson
 import yaml
@@ -47,36 +48,50 @@
 
     Attributes:
       status: HTTP status of its responses.
+      page_items: Items in one page of a listing.
+      answer_s: Time before each response, in seconds.
     """
 
     def __init__(self):
-        self.items: dict[str, tuple[int, dict]] = {}
+        # Revision of the last change and of the creation, and the value.
+        self.items: dict[str, tuple[int, int, dict]] = {}
         self.revision = 1
         self.status = 200
+        self.page_items = 500
+        self.answer_s = 0.0
         self.server = links.HttpServer(self)
 
     def put(self, key, value):
         self.revision += 1
-        self.items[key] = (self.revision, value)
+        created = self.items[key][1] if key in self.items else self.revision
+        self.items[key] = (self.revision, created, value)
 
     def remove(self, key):
         self.revision += 1
         del self.items[key]
 
     async def handle(self, request, disconnected):
-        items = [
-            {
-                "key": key,
-                "value": base64.b64encode(orjson.dumps(value)).decode(),
-                "rev": revision,
-                "created": 1,
-                "lease": 0,
-            }
-            for key, (revision, value) in sorted(self.items.items())
-        ]
+        if self.answer_s:
+            await asyncio.sleep(self.answer_s)
+        target = urllib.parse.urlsplit(request.target.decode())
+        after = dict(urllib.parse.parse_qsl(target.query)).get("after", "")
+        remaining = sorted(key for key in self.items if key > after)
+        items = []
+        for key in remaining[: self.page_items]:
+            revision, created, value = self.items[key]
+            text = base64.b64encode(orjson.dumps(value)).decode()
+            items.append(
+                {
+                    "key": key,
+                    "value": text,
+                    "rev": revision,
+                    "created": created,
+                    "lease": 0,
+                }
+            )
         body = {
             "items": items,
-            "truncated": False,
+            "truncated": len(items) < len(remaining),
             "store-revision": self.revision,
         }
         return http1.Response(self.status, [], orjson.dumps(body))
--- a/tests/platform/test_main.py
+++ b/tests/platform/test_main.py
@@ -7,9 +7,11 @@
 from tests.platform import deployment as deployments
 
 
-def run(tmp_path, body, **options):
+def run(tmp_path, body, prepare=lambda deployment: None, **options):
     async def run_body():
-        async with deployments.Deployment(tmp_path, **options) as deployment:
+        deployment = deployments.Deployment(tmp_path, **options)
+        prepare(deployment)
+        async with deployment:
             return await body(deployment)
 
     return asyncio.run(run_body())
@@ -179,6 +181,33 @@
     run(tmp_path, body)
 
 
+def test_changes_between_the_pages_of_a_listing_reach_all_daemons(tmp_path):
+    # Guards against a change that the daemons which do not read the store never
+    # receive, as their readers saw it on a later page than its revision says.
+    async def body(deployment):
+        store = deployment.store
+        for searcher in deployment.searchers:
+            await asyncio.sleep(0.17)
+            store.put(
+                f"servers/{searcher.id}", searcher.registration("draining")
+            )
+        await asyncio.sleep(3.0)
+        expected = {searcher.id for searcher in deployment.searchers}
+        for daemon in deployment.daemons:
+            drained = {
+                record["detail"].split()[0]
+                for record in daemon.log_records()
+                if record["event"] == "upstream_draining"
+            }
+            assert drained == expected, daemon.name
+
+    def make_pages_slow(deployment):
+        deployment.store.page_items = 4
+        deployment.store.answer_s = 0.015
+
+    run(tmp_path, body, make_pages_slow, daemons=5, shards=9)
+
+
 def test_a_searcher_gets_at_most_the_rate_it_names_from_all_daemons(tmp_path):
     async def body(deployment):
         limited = deployment.searchers[0]
--- a/tests/soak/entry.py
+++ b/tests/soak/entry.py
@@ -45,6 +45,9 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Callers wait for one of these times; the second is longer than `GRACE_S`.
 DEADLINES_MS = (900, 2500)
+# Listings of the store take several pages.
+STORE_PAGE_ITEMS = 5
+STORE_ANSWER_S = 0.004
 ROUTE_TIMEOUT_MS = 2500
 ZONES = ("a", "b", "c")
 ANSWER_TIMEOUT_S = 3.0
@@ -181,6 +184,9 @@
         self.deployment = Deployment(
             folder, daemons=DAEMON_COUNT, grace_s=GRACE_S, zones=ZONES
         )
+        # The store changes while a listing of several pages is read.
+        self.deployment.store.page_items = STORE_PAGE_ITEMS
+        self.deployment.store.answer_s = STORE_ANSWER_S
         # With 4, each daemon has one connection to a searcher.
         self.deployment.max_connections = self.rng.choice([4, 31])
         self.deployment.max_fds = self.rng.choice([512, 2048])
@@ -517,7 +523,7 @@
     async def replace_searcher(self):
         old = self.choose_searcher()
         if (
-            self.deployment.store.items[f"servers/{old.id}"][1]["state"]
+            self.deployment.store.items[f"servers/{old.id}"][2]["state"]
             != "ready"
         ):
             return
