--- a/review/stand3/bed.py
+++ b/review/stand3/bed.py
@@ -326,6 +326,10 @@
         )
         self._beats = asyncio.create_task(self._beat())
 
+    def warmup_left_ms(self) -> int:
+        """Returns how long it stays slow after its start."""
+        return 0
+
     def write_entry(self) -> int | None:
         """Writes its entry now."""
         self._seq += 1
@@ -338,7 +342,7 @@
                 "version": "v1",
                 "capacity": 6,
                 "state": self.state,
-                "warmup-left-ms": 0,
+                "warmup-left-ms": self.warmup_left_ms(),
                 "seq": self._seq,
                 "born": self._born,
             },
