--- a/review/stand3/bed.py
+++ b/review/stand3/bed.py
@@ -600,15 +600,23 @@
 
 
 def run(main: Callable, folder: pathlib.Path) -> int:
-    """Runs a case and returns its exit status.
+    """Runs a case and returns its exit status, 3 if the rule was broken.
+
+    An error that ends the interpreter gives 1, so that is no result.
 
     Args:
       main: Coroutine function that takes the folder and returns whether the
         rule held.
       folder: Folder of the case.
     """
+    signal.signal(signal.SIGTERM, _end)
     try:
-        return 0 if asyncio.run(main(folder)) else 1
+        return 0 if asyncio.run(main(folder)) else 3
     except Exception as error:
         print(f"the case couldn't run: {error!r}")
         return 2
+
+
+def _end(number: int, frame) -> None:
+    """Ends the case, so that it ends its processes."""
+    raise SystemExit(2)
