--- a/review/11/case.py
+++ b/review/11/case.py
@@ -157,9 +157,9 @@
     return not late_drain and not late_evacuation
 
 
-async def main(folder: pathlib.Path) -> bool:
+async def main(record_path: pathlib.Path) -> bool:
     """Runs the case; returns whether the rules held."""
-    bench = bed.Bed(folder, ZONES, ZONES)
+    bench = bed.Bed(record_path, ZONES, ZONES)
     try:
         return await play(bench)
     finally:
@@ -167,4 +167,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(bed.run(main, pathlib.Path(__file__).resolve().parent))
+    sys.exit(bed.run(main))
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -178,9 +178,9 @@
     return not old and not missing
 
 
-async def main(folder: pathlib.Path) -> bool:
+async def main(record_path: pathlib.Path) -> bool:
     """Runs the case; returns whether the rule held."""
-    bench = bed.Bed(folder, ZONES, DAEMON_ZONES)
+    bench = bed.Bed(record_path, ZONES, DAEMON_ZONES)
     try:
         return await play(bench)
     finally:
@@ -188,4 +188,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(bed.run(main, pathlib.Path(__file__).resolve().parent))
+    sys.exit(bed.run(main))
--- a/review/stand3/bed.py
+++ b/review/stand3/bed.py
@@ -15,6 +15,7 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import urllib.parse
@@ -30,6 +31,9 @@
 HEARTBEAT_S = 1.2
 GRACE_S = 6
 PAGE_ITEMS = 50
+# Requests that a searcher works on at once, and that wait there besides.
+CAPACITY = 6
+QUEUE = 24
 
 
 class Record:
@@ -310,6 +314,8 @@
         self._server: asyncio.Server | None = None
         self._beats: asyncio.Task | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._slots = asyncio.Semaphore(CAPACITY)
+        self._accepted_count = 0
         self.host = "127.0.4.1"
         self.port = free_port(self.host)
         self.state = "ready"
@@ -340,7 +346,7 @@
                 "address": f"{self.host}:{self.port}",
                 "zone": self.zone,
                 "version": "v1",
-                "capacity": 6,
+                "capacity": CAPACITY,
                 "state": self.state,
                 "warmup-left-ms": self.warmup_left_ms(),
                 "seq": self._seq,
@@ -389,8 +395,18 @@
             self._arrive(request_id, machine, False)
             headers["X-Not-Run"] = "1"
             return encode_message("HTTP/1.1 421 X", headers, b"")
+        if self._accepted_count >= CAPACITY + QUEUE:
+            self._arrive(request_id, machine, False)
+            headers["X-Not-Run"] = "1"
+            return encode_message("HTTP/1.1 503 X", headers, b"")
         self._arrive(request_id, machine, True)
-        await asyncio.sleep(self.work_s)
+        work_s = self.work_s
+        self._accepted_count += 1
+        try:
+            async with self._slots:
+                await asyncio.sleep(work_s)
+        finally:
+            self._accepted_count -= 1
         headers["X-Server-Stamp"] = f"{self.id}.{secrets.token_hex(6)}"
         return encode_message(
             "HTTP/1.1 200 OK", headers, self._records(request_id)
@@ -399,7 +415,7 @@
     def _arrive(self, request_id: str, machine: str, has_run: bool) -> None:
         at = self._record.write(
             f"request {request_id} reaches {self.id}"
-            f"{'' if has_run else ' (421)'}"
+            f"{'' if has_run else ' (not run)'}"
         )
         self._arrivals.append(Arrival(at, self, request_id, machine, has_run))
 
@@ -511,15 +527,18 @@
     """All stand-ins and daemons of one case.
 
     Args:
-      folder: Folder of the case, where the record is written.
+      record_path: Where the record is written.
       zones: Zones of the deployment.
       daemon_zones: Zone of each daemon.
     """
 
     def __init__(
-        self, folder: pathlib.Path, zones: list[str], daemon_zones: list[str]
+        self,
+        record_path: pathlib.Path,
+        zones: list[str],
+        daemon_zones: list[str],
     ):
-        self.record = Record(folder / "record.txt")
+        self.record = Record(record_path)
         self.zones = zones
         self.store = Store(self.record)
         self.arrivals: list[Arrival] = []
@@ -599,19 +618,18 @@
     }
 
 
-def run(main: Callable, folder: pathlib.Path) -> int:
+def run(main: Callable) -> int:
     """Runs a case and returns its exit status, 3 if the rule was broken.
 
     An error that ends the interpreter gives 1, so that is no result.
 
     Args:
-      main: Coroutine function that takes the folder and returns whether the
-        rule held.
-      folder: Folder of the case.
+      main: Coroutine function that takes the path of the record, the argument
+        of the script, and returns whether the rule held.
     """
     signal.signal(signal.SIGTERM, _end)
     try:
-        return 0 if asyncio.run(main(folder)) else 3
+        return 0 if asyncio.run(main(pathlib.Path(sys.argv[1]))) else 3
     except Exception as error:
         print(f"the case couldn't run: {error!r}")
         return 2
