Put a configuration at a reused revision in force

Cause: the decoded configuration was remembered by its revision alone. A store that comes back from a copy assigns revisions a second time, and its header `Store-Era`, which tells them apart, was read nowhere.

Change: a position in the store is an era and a revision. The client reads the era from every response, refuses one that is older than another, and remembers the configuration by its position.

--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -13,6 +13,7 @@
 
 from citrondoor import addresses
 from citrondoor import clock as clocks
+from citrondoor import discovery
 from citrondoor import documents
 from citrondoor import entry
 from citrondoor import errors
@@ -107,7 +108,7 @@
 
         Args:
           settings: Settings of the store.
-          on_unreadable: Called with the key, revision and reason of each value
+          on_unreadable: Called with the key, position and reason of each value
             that can't be decoded.
           account: Where the memory of reads in progress is recorded.
           turns: Turns of the connections that send wastefully.
@@ -543,9 +544,15 @@
     def _on_request_error(self, error: Exception) -> None:
         self._log.write_rate_limited("request_error", error=repr(error))
 
-    def _on_unreadable(self, key: str, revision: int, reason: str) -> None:
+    def _on_unreadable(
+        self, key: str, position: discovery.Position, reason: str
+    ) -> None:
         self._log.write(
-            "value_unreadable", key=key, revision=revision, reason=reason
+            "value_unreadable",
+            key=key,
+            era=position.era,
+            revision=position.revision,
+            reason=reason,
         )
 
     def _on_unreadable_header(self, name: bytes, value: bytes) -> None:
--- a/citrondoor/entry/_messages.py
+++ b/citrondoor/entry/_messages.py
@@ -89,34 +89,34 @@
     """The contents of the platform's store, from one read.
 
     Args:
-      revision: Revision of the store when the read began; some later changes
+      position: Position of the store when the read began; some later changes
         are included.
       routes: The configuration, or if it cannot be decoded, the newest one that
         could be, in an earlier read; None if there is none.
       upstreams: Searchers whose entries could be decoded.
       evacuated_zones: Availability zones whose searchers get no requests.
       listing_revisions: At which revision each searcher was read; None if all
-        were read at `revision`.
+        were read at that of `position`.
     """
 
     __slots__ = (
         "evacuated_zones",
         "listing_revisions",
-        "revision",
+        "position",
         "routes",
         "upstreams",
     )
 
     def __init__(
         self,
-        revision: int,
+        position: discovery.Position,
         routes: serving.RouteSet | None,
         upstreams: list[serving.Upstream],
         evacuated_zones: list[str],
         listing_revisions: discovery.ListingRevisions | None = None,
     ):
         self.listing_revisions = listing_revisions
-        self.revision = revision
+        self.position = position
         self.routes = routes
         self.upstreams = upstreams
         self.evacuated_zones = evacuated_zones
--- a/citrondoor/entry/_store_poller.py
+++ b/citrondoor/entry/_store_poller.py
@@ -144,7 +144,11 @@
         now = self._clock.now()
         if self._is_store_lost:
             self._is_store_lost = False
-            self._log.write("store_regained", revision=contents.revision)
+            self._log.write(
+                "store_regained",
+                era=contents.position.era,
+                revision=contents.position.revision,
+            )
         self._peers.record_store_read(started_at, ended_at=now)
         self._view.apply_store_contents(contents, now)
         return True
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -114,11 +114,11 @@
         if contents.routes is not None:
             self._offer_routes(contents.routes, "store")
         self._offer_evacuated(
-            contents.evacuated_zones, contents.revision, "store"
+            contents.evacuated_zones, contents.position.revision, "store"
         )
         self.registry.apply_listing(
             contents.upstreams,
-            contents.revision,
+            contents.position.revision,
             now,
             contents.listing_revisions,
         )
--- a/citrondoor/links/_json_client.py
+++ b/citrondoor/links/_json_client.py
@@ -82,17 +82,36 @@
           errors.PlatformError: The request failed or timed out, or the response
             is not JSON with status 200.
         """
+        return self.decode(await self.fetch(path, extra_ms))
+
+    async def fetch(self, path: str, extra_ms: int = 0) -> http1.Response:
+        """Sends a GET request and returns the response, whatever its status.
+
+        Args:
+          path: Path and query.
+          extra_ms: Time added to the timeout, for a long poll.
+
+        Raises:
+          errors.PlatformError: The request failed or timed out.
+        """
         self.read_count += 1
         timeout_s = (self._timeout_ms + extra_ms) / clocks.MS_PER_S
         try:
             async with asyncio.timeout(timeout_s):
-                response = await self._exchange(path.encode())
+                return await self._exchange(path.encode())
         except TimeoutError as error:
             raise self.make_error(
                 f"no response within {timeout_s:g} s"
             ) from error
         except (OSError, EOFError, http1.ProtocolError) as error:
             raise self.make_error(f"{type(error).__name__}: {error}") from error
+
+    def decode(self, response: http1.Response) -> dict:
+        """Returns the decoded body of a response.
+
+        Raises:
+          errors.PlatformError: The response is not JSON with status 200.
+        """
         if response.status != http.HTTPStatus.OK:
             raise self.make_error(f"status {response.status}")
         try:
--- a/citrondoor/platform/_headers.py
+++ b/citrondoor/platform/_headers.py
@@ -20,6 +20,8 @@
 # With status 503: seconds, a decimal number, for which the searcher wants no
 # request from this daemon.
 RETRY_AFTER = b"retry-after"
+# Number of times that the store came back from a copy, in all its responses.
+STORE_ERA = b"store-era"
 # Stamps of the shards in a merged answer, separated by commas.
 SHARD_STAMPS = b"x-part-stamps"
 # Number of shards missing from a merged answer.
--- a/citrondoor/platform/_store.py
+++ b/citrondoor/platform/_store.py
@@ -13,6 +13,8 @@
 from citrondoor import links
 from citrondoor import routes as routing
 from citrondoor.codecs import bounded_json
+from citrondoor.codecs import http1
+from citrondoor.platform import _headers
 from citrondoor.schema import serving
 
 # Store keys. A prefix is followed by the name of a zone or id of a searcher.
@@ -51,9 +53,9 @@
 
     Args:
       settings: Address and time limits.
-      on_unreadable: Called with the key, the revision and the reason if a value
+      on_unreadable: Called with the key, the position and the reason if a value
         cannot be decoded. Each searcher is reported once, the configuration
-        once for each revision.
+        once for each position.
       account: Where the memory of reads in progress is recorded.
       turns: Turns of the connections that send wastefully; None for turns of
         this client alone.
@@ -62,6 +64,7 @@
     __slots__ = (
         "_account",
         "_client",
+        "_newest_era",
         "_newest_routes",
         "_on_unreadable",
         "_reported",
@@ -83,10 +86,14 @@
             turns,
         )
         self._on_unreadable = on_unreadable
-        # Revision at which each unreadable key was last reported.
-        self._reported: dict[str, int] = {}
-        # Revision and routes of the newest readable configuration.
-        self._newest_routes: tuple[int, serving.RouteSet | None] = (-1, None)
+        # Highest era in any response, refusals included.
+        self._newest_era = 0
+        # Position at which each unreadable key was last reported.
+        self._reported: dict[str, discovery.Position] = {}
+        # Position and routes of the newest readable configuration.
+        self._newest_routes: tuple[
+            discovery.Position, serving.RouteSet | None
+        ] = (discovery.Position(0, -1), None)
 
     @property
     def read_count(self) -> int:
@@ -121,9 +128,36 @@
         query = {"prefix": ""}
         if reading.after_key:
             query["after"] = reading.after_key
-        return await self._client.get(
+        response = await self._client.fetch(
             f"/-/kv-range?{urllib.parse.urlencode(query)}"
         )
+        era = self._read_era(response)
+        if reading.era not in (None, era):
+            raise self._client.make_error(
+                f"a listing of which one page is of era {reading.era} and the"
+                f" next one of era {era}"
+            )
+        reading.era = era
+        return self._client.decode(response)
+
+    def _read_era(self, response: http1.Response) -> int:
+        """Returns the era of the store that a response states.
+
+        Raises:
+          errors.PlatformError: It is unreadable, or the response is older than
+            another one.
+        """
+        try:
+            era = _decode_era(response.headers)
+        except ValueError as error:
+            raise self._client.make_error(str(error)) from error
+        if era < self._newest_era:
+            raise self._client.make_error(
+                f"a response of era {era}, while the store is in era"
+                f" {self._newest_era}"
+            )
+        self._newest_era = era
+        return era
 
     def _add_page(self, page: dict, reading: "_Reading") -> None:
         """Adds the items of a page to a read.
@@ -170,7 +204,7 @@
                 upstream_id = key.removeprefix(_SEARCHER_PREFIX)
                 upstream = decode_upstream(upstream_id, _decode_value(item))
             except (KeyError, TypeError, ValueError) as error:
-                self._report_unreadable(item, error)
+                self._report_unreadable(item, reading, error)
                 return
             contents.upstreams.append(upstream)
             contents.listing_revisions.add_created(
@@ -192,8 +226,9 @@
 
         Those that take more memory than the read has left are unreadable.
         """
-        revision, routes = self._newest_routes
-        if item["rev"] == revision:
+        newest_at, routes = self._newest_routes
+        position = discovery.Position(reading.era, _revision(item["rev"]))
+        if position == newest_at:
             return routes
         try:
             room = max(0, reading.max_bytes - reading.kept_bytes)
@@ -202,24 +237,26 @@
             )
             reading.kept_bytes += routing.estimate_bytes(decoded)
         except (KeyError, TypeError, ValueError) as error:
-            self._report_unreadable(item, error)
+            self._report_unreadable(item, reading, error)
             return routes
         # A read that overlaps a newer one must not replace the newer routes.
-        if item["rev"] > revision:
-            self._newest_routes = (item["rev"], decoded)
+        if position > newest_at:
+            self._newest_routes = (position, decoded)
         return decoded
 
-    def _report_unreadable(self, item: dict, error: Exception) -> None:
+    def _report_unreadable(
+        self, item: dict, reading: "_Reading", error: Exception
+    ) -> None:
         key = item["key"][:_MAX_REPORTED_CHARACTERS]
-        revision = item["rev"]
+        position = discovery.Position(reading.era, _revision(item["rev"]))
         if key not in self._reported:
             if len(self._reported) >= _MAX_REPORTED_KEYS:
                 return
-        elif key != _CONFIG_KEY or self._reported[key] == revision:
+        elif key != _CONFIG_KEY or self._reported[key] == position:
             return
-        self._reported[key] = revision
+        self._reported[key] = position
         reason = f"{type(error).__name__}: {error}"
-        self._on_unreadable(key, revision, reason[:_MAX_REPORTED_CHARACTERS])
+        self._on_unreadable(key, position, reason[:_MAX_REPORTED_CHARACTERS])
 
 
 class _Reading:
@@ -231,6 +268,7 @@
     Attributes:
       after_key: Last key of the last page.
       contents: Contents of the pages read so far; None before the first.
+      era: Era of the store in all pages; None before the first.
       has_given_way: Whether the account chose it to be dropped.
       holder: Its holder in the account.
       is_truncated: Whether there are further pages.
@@ -241,6 +279,7 @@
     __slots__ = (
         "after_key",
         "contents",
+        "era",
         "has_given_way",
         "holder",
         "is_truncated",
@@ -251,6 +290,7 @@
     def __init__(self, account: limits.MemoryAccount):
         self.after_key = ""
         self.contents: entry.StoreContents | None = None
+        self.era: int | None = None
         self.has_given_way = False
         self.holder = account.open(serving.Sender.STORE, self._give_way)
         self.is_truncated = True
@@ -260,7 +300,11 @@
     def begin(self, revision: int) -> None:
         """Begins with a first page, read at this revision of the store."""
         self.contents = entry.StoreContents(
-            revision, None, [], [], discovery.ListingRevisions(revision)
+            discovery.Position(self.era, revision),
+            None,
+            [],
+            [],
+            discovery.ListingRevisions(revision),
         )
 
     def _give_way(self) -> None:
@@ -293,6 +337,16 @@
     return value
 
 
+def _decode_era(headers: http1.Headers) -> int:
+    """Returns the era that a response of the store states; 0 if none."""
+    values = [value for name, value in headers if name == _headers.STORE_ERA]
+    if not values:
+        return 0
+    if len(values) > 1 or not values[0].isdigit():
+        raise ValueError(f"the era is {reprlib.repr(values)}")
+    return _revision(values[0])
+
+
 def _revision(value) -> int:
     revision = int(value)
     if not 0 <= revision <= _MAX_I64:
--- a/tests/entry/test_dispatcher.py
+++ b/tests/entry/test_dispatcher.py
@@ -107,7 +107,10 @@
         self.view = entry.LocalView(lambda kind, detail: None, {"a": "r"})
         self.view.apply_store_contents(
             entry.StoreContents(
-                1, samples.route_set(1, routes), list(upstreams), []
+                samples.position(1),
+                samples.route_set(1, routes),
+                list(upstreams),
+                [],
             ),
             0,
         )
@@ -586,7 +589,10 @@
 
     def set_evacuated(zones, revision):
         harness.view.apply_store_contents(
-            entry.StoreContents(revision, None, [searcher], zones), revision
+            entry.StoreContents(
+                samples.position(revision), None, [searcher], zones
+            ),
+            revision,
         )
 
     return harness, set_evacuated
@@ -958,7 +964,10 @@
         ]
         route_set = samples.route_set(version, [route], backends)
         harness.view.apply_store_contents(
-            entry.StoreContents(version, route_set, upstreams, []), clock.now()
+            entry.StoreContents(
+                samples.position(version), route_set, upstreams, []
+            ),
+            clock.now(),
         )
         request = make_request()
         request.arrived_at = clock.now()
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -153,7 +153,7 @@
     async def body(nodes, ports, seeds):
         upstreams = [samples.upstream()]
         contents = entry.StoreContents(
-            7, samples.route_set(3), upstreams, ["z"]
+            samples.position(7), samples.route_set(3), upstreams, ["z"]
         )
         nodes[1].peers.record_store_read(nodes[1].clock.now())
         nodes[1].view.apply_store_contents(contents, nodes[1].clock.now())
@@ -294,7 +294,10 @@
         self.revision += 1
         self.peers.record_store_read(self.clock.now())
         contents = entry.StoreContents(
-            self.revision, samples.route_set(1), list(upstreams), []
+            samples.position(self.revision),
+            samples.route_set(1),
+            list(upstreams),
+            [],
         )
         self.view.apply_store_contents(contents, self.clock.now())
         return [
@@ -349,7 +352,9 @@
             assert link_count < len(nodes) - 1
             for zone in {"a", "b", "c"} - {node.settings.zone}:
                 assert len(node.peers.reachable_in(zone)) >= 2
-        contents = entry.StoreContents(7, samples.route_set(3), [], [])
+        contents = entry.StoreContents(
+            samples.position(7), samples.route_set(3), [], []
+        )
         nodes[1].view.apply_store_contents(contents, nodes[1].clock.now())
         await wait_until(
             lambda: all(node.view.is_complete for node in nodes), 2.5
@@ -370,7 +375,9 @@
 
     async def body(nodes, ports, seeds):
         monkeypatch.setattr(entry.LocalView, "updates_after", count)
-        contents = entry.StoreContents(7, samples.route_set(3), [], [])
+        contents = entry.StoreContents(
+            samples.position(7), samples.route_set(3), [], []
+        )
         nodes[1].view.apply_store_contents(contents, nodes[1].clock.now())
         await wait_until(
             lambda: all(node.view.is_complete for node in nodes), 2.5
@@ -473,7 +480,9 @@
     # The restarted daemon has read nothing.
     async def body(nodes, ports, seeds):
         node = nodes[0]
-        contents = entry.StoreContents(7, samples.route_set(3), [], [])
+        contents = entry.StoreContents(
+            samples.position(7), samples.route_set(3), [], []
+        )
         read_at = node.clock.now() - 60_000
         node.peers.record_store_read(read_at)
         node.view.apply_store_contents(contents, read_at)
@@ -490,7 +499,7 @@
             read_at = node.clock.now() - (0 if version == 4 else 60_000)
             node.peers.record_store_read(read_at)
             contents = entry.StoreContents(
-                7, samples.route_set(version), [], []
+                samples.position(7), samples.route_set(version), [], []
             )
             node.view.apply_store_contents(contents, read_at)
         await asyncio.sleep(2 * _peer_network.HEARTBEAT_INTERVAL_MS / 1000)
--- a/tests/entry/test_relay.py
+++ b/tests/entry/test_relay.py
@@ -116,7 +116,10 @@
         for peers in self.peer_networks:
             view = entry.LocalView(lambda kind, detail: None, {})
             view.apply_store_contents(
-                entry.StoreContents(1, samples.route_set(1), upstreams, []), 0
+                entry.StoreContents(
+                    samples.position(1), samples.route_set(1), upstreams, []
+                ),
+                0,
             )
             self.relays.append(self._make_relay(peers, view))
         self.serving_view = view
--- a/tests/entry/test_store_poller.py
+++ b/tests/entry/test_store_poller.py
@@ -39,7 +39,7 @@
 
 def make_contents(revision, *upstreams):
     return entry.StoreContents(
-        revision, samples.route_set(1), list(upstreams), []
+        samples.position(revision), samples.route_set(1), list(upstreams), []
     )
 
 
--- a/tests/entry/test_view.py
+++ b/tests/entry/test_view.py
@@ -19,7 +19,7 @@
 
 def make_contents(revision, version=1, upstreams=(), evacuated=()):
     return entry.StoreContents(
-        revision,
+        samples.position(revision),
         samples.route_set(version),
         list(upstreams),
         list(evacuated),
@@ -60,7 +60,9 @@
 def test_routes_stay_if_the_store_has_no_readable_ones():
     view = make_view()
     view.apply_store_contents(make_contents(5, 9), 0)
-    view.apply_store_contents(entry.StoreContents(6, None, [], []), 0)
+    view.apply_store_contents(
+        entry.StoreContents(samples.position(6), None, [], []), 0
+    )
     assert view.routes.version == 9
 
 
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -50,6 +50,8 @@
       status: HTTP status of its responses.
       page_items: Items in one page of a listing.
       answer_s: Time before each response, in seconds.
+      era: Number of returns from a copy, in the headers of its responses; None
+        leaves it out.
     """
 
     def __init__(self):
@@ -59,8 +61,18 @@
         self.status = 200
         self.page_items = 500
         self.answer_s = 0.0
+        self.era = 1
         self.server = links.HttpServer(self)
 
+    def copy(self):
+        return dict(self.items), self.revision
+
+    def restore(self, copy):
+        """Comes back from a copy; what was written since then is lost."""
+        items, self.revision = copy
+        self.items = dict(items)
+        self.era += 1
+
     def put(self, key, value):
         self.revision += 1
         created = self.items[key][1] if key in self.items else self.revision
@@ -94,7 +106,10 @@
             "truncated": len(items) < len(remaining),
             "store-revision": self.revision,
         }
-        return http1.Response(self.status, [], orjson.dumps(body))
+        headers = []
+        if self.era is not None:
+            headers.append((b"Store-Era", b"%d" % self.era))
+        return http1.Response(self.status, headers, orjson.dumps(body))
 
 
 class Searcher:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 import pytest
 from hypothesis import strategies
 
+from citrondoor import discovery
 from citrondoor import errors
 from citrondoor import limits
 from citrondoor import links
@@ -88,11 +89,16 @@
         self.body: bytes | None = body
         # Of each answer, in turn; the last one of all that follow.
         self.revisions = [30]
+        self.eras = [None]
 
     async def handle(self, request, disconnected):
         revision = self.revisions[0]
         if len(self.revisions) > 1:
             del self.revisions[0]
+        era = self.eras[0]
+        if len(self.eras) > 1:
+            del self.eras[0]
+        headers = [] if era is None else [(b"Store-Era", era)]
         query = request.target.decode().partition("?")[2]
         after_key = dict(
             parameter.split("=") for parameter in query.split("&")
@@ -105,24 +111,33 @@
             "store-revision": revision,
         }
         body = self.body if self.body is not None else orjson.dumps(page)
-        return http1.Response(self.status, [], body)
+        return http1.Response(self.status, headers, body)
 
 
-def read(fake, times=1, account=None):
-    async def body():
-        server = links.HttpServer(fake)
-        await server.start("127.0.0.1", 0)
-        unreadable = []
-        client = _store.StoreClient(
+@contextlib.asynccontextmanager
+async def serve_store(fake, on_unreadable=lambda *args: None, account=None):
+    """Serves a fake store; returns a client of it."""
+    server = links.HttpServer(fake)
+    await server.start("127.0.0.1", 0)
+    try:
+        yield _store.StoreClient(
             serving.StoreSettings(f"127.0.0.1:{server.port}"),
-            lambda key, revision, reason: unreadable.append(key),
+            on_unreadable,
             account or limits.MemoryAccount(2**30),
         )
-        try:
+    finally:
+        await server.close(0)
+
+
+def read(fake, times=1, account=None):
+    unreadable = []
+
+    async def body():
+        async with serve_store(
+            fake, lambda key, *args: unreadable.append(key), account
+        ) as client:
             for _ in range(times):
                 contents = await client.read()
-        finally:
-            await server.close(0)
         return contents, unreadable
 
     return asyncio.run(body())
@@ -136,7 +151,7 @@
     )
     fake.revisions = [30, 31, 33, 36]
     contents, _ = read(fake)
-    assert contents.revision == 30
+    assert contents.position.revision == 30
     revisions = contents.listing_revisions
     ids = ["i-0", "i-1", "i-2", "i-3", "i-4", "i-5"]
     assert [revisions.revision_of(i) for i in ids] == [31, 31, 33, 33, 36, 36]
@@ -163,13 +178,79 @@
         read(fake)
 
 
+def test_a_configuration_at_a_revision_that_is_given_out_again_is_read():
+    # Guards against routes that stay as they were because the store, back from
+    # a copy, gave their revision to another version.
+    fake = FakeStore([item("op/config", CONFIG, 30)])
+    fake.eras = [b"1", b"2"]
+
+    async def body():
+        async with serve_store(fake) as client:
+            versions = [(await client.read()).routes.version]
+            fake.items = [item("op/config", CONFIG | {"version": 9}, 30)]
+            contents = await client.read()
+            return [*versions, contents.routes.version], contents.position
+
+    versions, position = asyncio.run(body())
+    assert versions == [7, 9]
+    assert position == discovery.Position(2, 30)
+
+
+def test_an_unreadable_configuration_is_reported_in_each_era():
+    # Guards against a report that is left out as one of its revision was made.
+    fake = FakeStore([item("op/config", {}, 30)])
+    fake.eras = [b"1", b"1", b"2"]
+    _, unreadable = read(fake, times=3)
+    assert unreadable == ["op/config"] * 2
+
+
+def test_a_store_that_states_no_era_is_in_era_0():
+    contents, _ = read(FakeStore([]))
+    assert contents.position == discovery.Position(0, 30)
+
+
+def test_a_listing_of_two_eras_is_not_used():
+    # Guards against searchers that count as removed because the pages before
+    # the return from a copy and those after it are taken for one listing.
+    fake = FakeStore([item(f"servers/i-{n}", REGISTRATION) for n in range(5)])
+    fake.eras = [b"1", b"2"]
+    with pytest.raises(errors.PlatformError, match="era 1 and the next one"):
+        read(fake)
+
+
+@pytest.mark.parametrize("status", [200, 410, 429, 503])
+def test_a_response_of_an_older_era_than_any_other_is_not_used(status):
+    # Guards against a late response that brings back what a copy replaced.
+    fake = FakeStore([])
+    fake.eras = [b"4", b"3"]
+    fake.status = status
+
+    async def body():
+        async with serve_store(fake) as client:
+            with contextlib.suppress(errors.PlatformError):
+                await client.read()
+            fake.status = 200
+            with pytest.raises(errors.PlatformError, match="is in era 4"):
+                await client.read()
+
+    asyncio.run(body())
+
+
+@pytest.mark.parametrize("era", [b"", b"-1", b"1.5", b"new", b"9" * 20])
+def test_an_unreadable_era_fails_the_read(era):
+    fake = FakeStore([])
+    fake.eras = [era]
+    with pytest.raises(errors.PlatformError, match="is "):
+        read(fake)
+
+
 def test_all_pages_of_a_listing_are_read():
     fake = FakeStore(
         [item(f"servers/i-{n}", REGISTRATION) for n in range(5)]
         + [item("op/config", CONFIG), item("op/evacuate/b", {})]
     )
     contents, unreadable = read(fake)
-    assert contents.revision == 30
+    assert contents.position.revision == 30
     assert [u.id for u in contents.upstreams] == [f"i-{n}" for n in range(5)]
     assert contents.evacuated_zones == ["b"]
     assert contents.routes.version == 7
@@ -393,9 +474,12 @@
         def __init__(self):
             self.requests = []
 
-        async def get(self, path):
+        async def fetch(self, path):
             self.requests.append(asyncio.get_running_loop().create_future())
-            return await self.requests[-1]
+            return http1.Response(200, [], await self.requests[-1])
+
+        def decode(self, response):
+            return response.body
 
     def make_page(version, is_truncated):
         config = item("op/config", CONFIG | {"version": version}, version)
@@ -424,7 +508,7 @@
             {"items": [], "truncated": False, "store-revision": 9}
         )
         contents = await newer
-        assert (contents.revision, contents.routes.version) == (8, 8)
+        assert (contents.position.revision, contents.routes.version) == (8, 8)
 
     asyncio.run(body())
 
@@ -456,7 +540,9 @@
     text = orjson.dumps(value).replace(b'"DEEP"', DEEP)
     entry = item("op/config", {}, 3)
     entry["value"] = base64.b64encode(text).decode()
-    assert client._decode_routes(entry, _store._Reading(account)) is None
+    reading = _store._Reading(account)
+    reading.era = 0
+    assert client._decode_routes(entry, reading) is None
     assert len(reasons) == 1
     assert len(reasons[0]) < 300
 
@@ -520,6 +606,7 @@
         limits.MemoryAccount(60_000),
     )
     reading = _store._Reading(client._account)
+    reading.era = 0
     small = CONFIG | {"version": 3, "routes": [], "services": []}
     routes = client._decode_routes(item("op/config", small, 3), reading)
     assert routes.version == 3
--- a/tests/serving_samples.py
+++ b/tests/serving_samples.py
@@ -1,5 +1,6 @@
 """Sample routes and discovered upstreams, shared by several tests."""
 
+from citrondoor import discovery
 from citrondoor.schema import serving
 
 LIMITS = serving.CallerLimits(16384, 262144, 3000, 15000)
@@ -37,6 +38,10 @@
     return serving.RouteSet(version, list(routes), list(backends), LIMITS)
 
 
+def position(revision, era=0) -> discovery.Position:
+    return discovery.Position(era, revision)
+
+
 def upstream(upstream_id="i-1", backend="store", **changes):
     fields = {
         "id": upstream_id,
