Follow a store that comes back from a copy

Cause: listings, zones and peers' views at lower revisions were taken for older ones. The position of a view was a bare revision.

Change: a view has an era. The first listing of a new one, or the view of a peer that is ahead, carries over what is known without a revision. What the era lacks is removed after 2.5 s by each daemon for itself; incarnations that were draining or gone get no requests for 10 s, though the copy lists them; zones stay evacuated until the operator had time to write again. A read of an older era is a failed one.

--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -450,7 +450,8 @@
                 store_age_ms=self._peers.store_age_ms(self._clock.now()),
                 store_read_by=self._peers.store_read_by,
                 version=self._view.routes.version,
-                upstream_revision=self._view.registry.revision,
+                store_era=self._view.position.era,
+                upstream_revision=self._view.position.revision,
                 **self._metrics.summary(),
             )
             self._report_turned_away()
--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -5,6 +5,10 @@
 It is never lower than the revision of the change itself: a peer asks for what
 changed after the revision up to which it knows all changes, and would otherwise
 never receive this one.
+
+All revisions are of one era of the store. When the next era begins, searchers
+are carried over: they stay as they were, without a revision, until a listing of
+the new era shows them or has lacked them for long enough.
 """
 
 from collections.abc import Callable
@@ -12,6 +16,7 @@
 
 from citrondoor.discovery import _departures
 from citrondoor.discovery import _listing_revisions
+from citrondoor.discovery import _returned_entries
 from citrondoor.discovery import _revision_history
 from citrondoor.schema import serving
 
@@ -20,6 +25,10 @@
 # back within two seconds of its end; half a second more allows for reading
 # them.
 RECOVERY_GRACE_MS = 2500
+# For this long after the store came back from a copy, an incarnation that was
+# leaving or gone before gets no requests, whatever its entry says. The store
+# drops the entry of an ended searcher 3.6 s after its last heartbeat.
+RETURNED_HOLD_MS = 10_000
 # A removed searcher is kept as a tombstone for this long, so that peers receive
 # the removal.
 TOMBSTONE_MS = 60_000
@@ -31,10 +40,13 @@
 # Estimated memory of a searcher and of a tombstone besides their texts.
 _UPSTREAM_BYTES = 768
 _TOMBSTONE_BYTES = 384
+# Revision of a record that was carried over from the era before.
+_CARRIED_OVER = -1
 
 
 class _Record:
     __slots__ = (
+        "born_ms",
         "changed_at_revision",
         "cold_until",
         "created_revision",
@@ -49,6 +61,12 @@
         self.created_revision = -1
         self.cold_until = 0
         self.removed_at = 0
+        # Start of the process that has, or had, the entry; 0 if unknown.
+        self.born_ms = 0 if upstream is None else upstream.born_ms
+
+    @property
+    def is_carried_over(self) -> bool:
+        return self.changed_at_revision == _CARRIED_OVER
 
 
 class Registry:
@@ -61,12 +79,14 @@
     __slots__ = (
         "_behind_since",
         "_departures",
+        "_era_began_at",
         "_evacuated",
         "_history",
         "_listener",
         "_live_bytes",
         "_records",
         "_removals_known_after",
+        "_returned_entries",
         "_revision",
         "_store_recovered_at",
         "_tombstone_bytes",
@@ -78,6 +98,9 @@
         self._listener = listener
         self._records: dict[str, _Record] = {}
         self._departures = _departures.Departures()
+        self._returned_entries = _returned_entries.ReturnedEntries()
+        # Clock time in ms; None once no searcher is carried over any more.
+        self._era_began_at: int | None = None
         self._history = _revision_history.RevisionHistory()
         # Estimated memory of searchers and of tombstones.
         self._live_bytes = 0
@@ -122,8 +145,22 @@
             self._live_bytes
             + self._tombstone_bytes
             + self._departures.kept_bytes
+            + self._returned_entries.kept_bytes
         )
 
+    @property
+    def carried_over_count(self) -> int:
+        """Number of searchers that the store's era has not shown so far."""
+        return sum(
+            record.upstream is not None and record.is_carried_over
+            for record in self._records.values()
+        )
+
+    @property
+    def held_count(self) -> int:
+        """Number of incarnations that get no requests after a new era."""
+        return self._returned_entries.count
+
     @property
     def version(self) -> int:
         """Grows with each change that may affect the usable searchers."""
@@ -249,6 +286,55 @@
             self._evacuated = zones
             self._on_usable_changed()
 
+    def begin_era(self, now: int) -> None:
+        """Begins an era of the store, whose revisions start anew.
+
+        The caller applies the first listing of the era, or all that a peer
+        knows of it, immediately afterwards.
+        """
+        held_until = now + RETURNED_HOLD_MS
+        for upstream_id, record in self._records.items():
+            upstream = record.upstream
+            is_leaving = (
+                upstream is None
+                or upstream.state == serving.UpstreamState.DRAINING
+                or self._returned_entries.includes(upstream)
+            )
+            if is_leaving and record.born_ms:
+                self._returned_entries.add(
+                    upstream_id, record.born_ms, held_until
+                )
+            record.changed_at_revision = _CARRIED_OVER
+            record.created_revision = -1
+        self._history = _revision_history.RevisionHistory()
+        self._revision = -1
+        self._removals_known_after = -1
+        self._behind_since = None
+        # What an outage would keep is carried over.
+        self._store_recovered_at = None
+        self._era_began_at = now
+        self._on_usable_changed()
+
+    def end_carry_over(self, read_at: int, now: int) -> None:
+        """Removes searchers that the store's era lacks once they had time.
+
+        Args:
+          read_at: Clock time in ms of the newest read of the store that the
+            view includes.
+          now: Clock time in ms.
+        """
+        if self._returned_entries.drop_old(now):
+            self._on_usable_changed()
+        began_at = self._era_began_at
+        if began_at is None or self._is_in_recovery_grace(now):
+            return
+        if read_at - began_at < RECOVERY_GRACE_MS:
+            return
+        self._era_began_at = None
+        for upstream_id, record in self._records.items():
+            if record.upstream is not None and record.is_carried_over:
+                self._remove(upstream_id, record, self._revision, now)
+
     def on_store_recovered(self, now: int) -> None:
         """Starts the grace period after an outage for all daemons."""
         self._store_recovered_at = now
@@ -287,6 +373,7 @@
                 missing_at = revisions.revision_of(upstream_id)
                 if (
                     record.upstream is not None
+                    and not record.is_carried_over
                     and upstream_id not in listed
                     and record.changed_at_revision <= missing_at
                 ):
@@ -308,15 +395,30 @@
         revision = revisions.revision_of(upstream.id)
         record = self._records.get(upstream.id)
         known = -1 if record is None else record.changed_at_revision
-        if revision < known:
+        if revision < known or self._is_superseded(record, upstream, now):
             return
         self._apply_entry(upstream, revision, now)
         created_revision = revisions.created_at(upstream.id)
-        if created_revision > known:
+        if created_revision > known or known == _CARRIED_OVER:
             # Its removal was not seen here, but may have been seen elsewhere.
             self._records[upstream.id].changed_at_revision = revision
         self._set_created(upstream.id, created_revision)
 
+    def _is_superseded(
+        self, record: _Record | None, upstream: serving.Upstream, now: int
+    ) -> bool:
+        """Returns whether a copy brought back an earlier incarnation."""
+        if (
+            record is None
+            or not record.is_carried_over
+            or upstream.born_ms >= record.born_ms
+        ):
+            return False
+        self._returned_entries.add(
+            upstream.id, upstream.born_ms, now + RETURNED_HOLD_MS
+        )
+        return True
+
     def _set_created(self, upstream_id: str, revision: int) -> None:
         record = self._records[upstream_id]
         if record.created_revision != revision:
@@ -357,6 +459,10 @@
             if update.revision <= known:
                 continue
             if update.upstream is not None:
+                if self._is_superseded(record, update.upstream, now):
+                    continue
+                if update.held_ms is not None:
+                    self._hold(update.upstream, update.held_ms, now)
                 self._apply_entry(update.upstream, update.revision, now)
                 # Also if nothing differs: the searcher may have changed and
                 # changed back, which other daemons have to learn.
@@ -386,6 +492,11 @@
             self._removals_known_after = removals_known_after
         self._advance(max(self._revision, revision))
 
+    def _hold(self, upstream: serving.Upstream, held_ms: int, now: int) -> None:
+        until = now + min(held_ms, RETURNED_HOLD_MS)
+        self._returned_entries.add(upstream.id, upstream.born_ms, until)
+        self._on_usable_changed()
+
     def _apply_removal(
         self, update: serving.UpstreamNews, record: _Record | None, now: int
     ) -> None:
@@ -418,6 +529,7 @@
             if (
                 record is not None
                 and record.upstream is not None
+                and not record.is_carried_over
                 and upstream_id not in listed
                 and record.changed_at_revision <= revision
             ):
@@ -449,6 +561,9 @@
                 None
                 if record.created_revision < 0
                 else record.created_revision,
+                None
+                if record.upstream is None
+                else self._returned_entries.remaining_ms(record.upstream, now),
             )
             for upstream_id, record in self._records.items()
             if record.changed_at_revision > revision
@@ -488,6 +603,7 @@
         previous = record.upstream
         self._live_bytes += _estimate(upstream) - _estimate(previous)
         record.upstream = upstream
+        record.born_ms = upstream.born_ms
         record.changed_at_revision = revision
         record.cold_until = cold_until if upstream.warm_in_ms else 0
         self._on_usable_changed()
@@ -502,6 +618,8 @@
         kind = "upstream_seen"
         if self._departures.includes(upstream):
             kind = "upstream_still_leaving"
+        elif self._returned_entries.includes(upstream):
+            kind = "upstream_held"
         elif upstream.state == serving.UpstreamState.DRAINING:
             kind = "upstream_draining"
         elif previous is not None and previous.born_ms != upstream.born_ms:
@@ -560,6 +678,7 @@
             and upstream.zone not in self._evacuated
             and upstream.state == serving.UpstreamState.READY
             and not self._departures.includes(upstream)
+            and not self._returned_entries.includes(upstream)
         )
 
 
--- a/citrondoor/entry/_dispatcher.py
+++ b/citrondoor/entry/_dispatcher.py
@@ -737,7 +737,8 @@
             outcome=reply.outcome.name.lower(),
             status=reply.response.status if reply.response else 0,
             in_flight=replica.in_flight,
-            upstream_revision=self._view.registry.revision,
+            store_era=self._view.position.era,
+            upstream_revision=self._view.position.revision,
         )
 
     def _record_outcome(
@@ -771,7 +772,8 @@
             took_ms=now - request.arrived_at,
             deadline_ms=request.deadline_ms,
             shutting_down=self._shutdown.has_begun,
-            upstream_revision=self._view.registry.revision,
+            store_era=self._view.position.era,
+            upstream_revision=self._view.position.revision,
         )
 
     def _record_refusal(
--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -601,7 +601,7 @@
         read_at = sent_at - heartbeat.store_age_ms
         now = self._clock.now()
         is_asking = now - self._view_requested_at < VIEW_REQUEST_GAP_MS
-        if _is_newer(heartbeat.stamp, self._view.stamp) and not is_asking:
+        if _view.is_newer(heartbeat.stamp, self._view.stamp) and not is_asking:
             self._view_requested_at = now
             try:
                 await self._update_view(link)
@@ -609,7 +609,13 @@
                 self._view_requested_at = -VIEW_REQUEST_GAP_MS
         # Before its first view, a peer reports the time since its start.
         has_view = heartbeat.stamp.upstream_revision >= 0
-        if has_view and not _is_newer(heartbeat.stamp, self._view.stamp):
+        own_stamp = self._view.stamp
+        # A read of an older era tells nothing of this one.
+        if (
+            has_view
+            and heartbeat.stamp.era == own_stamp.era
+            and not _view.is_newer(heartbeat.stamp, own_stamp)
+        ):
             self.record_store_read(read_at, link.name)
 
     async def _update_view(self, link: links.PeerLink) -> None:
@@ -757,11 +763,3 @@
             f"{sender!r} sent {type(message).__name__} where an entry daemon"
             f" expects {expected.__name__}; run compatible versions"
         )
-
-
-def _is_newer(one: serving.ViewStamp, other: serving.ViewStamp) -> bool:
-    return (
-        one.route_version > other.route_version
-        or one.upstream_revision > other.upstream_revision
-        or one.evacuation_revision > other.evacuation_revision
-    )
--- a/citrondoor/entry/_store_poller.py
+++ b/citrondoor/entry/_store_poller.py
@@ -92,6 +92,8 @@
                     self._settings.poll_ms if has_read else RETRY_INTERVAL_MS
                 )
                 next_at = now + interval_ms
+            now = self._clock.now()
+            self._view.end_carry_over(now - self._peers.store_age_ms(now), now)
             await asyncio.sleep(CHECK_INTERVAL_MS / clocks.MS_PER_S)
 
     async def _read_first(self) -> None:
@@ -160,6 +162,7 @@
             self._log.write(
                 "store_lost",
                 reason=str(error),
-                upstream_revision=self._view.registry.revision,
+                store_era=self._view.position.era,
+                upstream_revision=self._view.position.revision,
                 route_version=self._view.routes.version,
             )
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -26,6 +26,8 @@
     """
 
     __slots__ = (
+        "_era",
+        "_era_began_at",
         "_max_bytes",
         "_on_event",
         "_regions",
@@ -41,6 +43,9 @@
         regions: dict[str, str],
         max_bytes: int = sys.maxsize,
     ):
+        self._era = 0
+        # Clock time in ms; None once nothing is carried over any more.
+        self._era_began_at: int | None = None
         self._max_bytes = max_bytes
         self._on_event = on_event
         self._regions = regions
@@ -54,13 +59,19 @@
         """Whether routes and searchers are known, so requests can be served."""
         return self.routes.table is not None and self.registry.revision >= 0
 
+    @property
+    def position(self) -> discovery.Position:
+        """Position of the store up to which all searchers are known."""
+        return discovery.Position(self._era, self.registry.revision)
+
     @property
     def stamp(self) -> serving.ViewStamp:
-        """Version of the routes and revisions of searchers and evacuations."""
+        """Version of the routes and positions of searchers and evacuations."""
         return serving.ViewStamp(
             self.routes.version,
             self.registry.revision,
             self.evacuated_zones.revision,
+            self._era,
         )
 
     def needs_whole(self, now: int) -> bool:
@@ -99,7 +110,14 @@
         return is_new
 
     def check_store_contents(self, contents) -> None:
-        """Raises `errors.ViewTooLargeError` if they take too much memory."""
+        """Checks that the view may take over the contents of the store.
+
+        Raises:
+          errors.OldEraError: They are of an older era than the view.
+          errors.ViewTooLargeError: They take too much memory.
+        """
+        if contents.position.era < self._era:
+            raise errors.OldEraError(contents.position.era, self._era)
         self._check_size(
             contents.routes,
             self.registry.estimate_listing(contents.upstreams),
@@ -108,17 +126,23 @@
     def apply_store_contents(self, contents, now: int) -> None:
         """Applies the `StoreContents` of one store read.
 
-        The routes stay if the store has no readable ones.
+        The routes stay if the store has no readable ones. Contents of an older
+        era than that of the view have no effect.
         """
+        position = contents.position
+        if position.era < self._era:
+            return
         old_versions = self._versions()
         if contents.routes is not None:
             self._offer_routes(contents.routes, "store")
+        if position.era > self._era:
+            self._begin_era(position, "store", now)
         self._offer_evacuated(
-            contents.evacuated_zones, contents.position.revision, "store"
+            contents.evacuated_zones, position.revision, "store"
         )
         self.registry.apply_listing(
             contents.upstreams,
-            contents.position.revision,
+            position.revision,
             now,
             contents.listing_revisions,
         )
@@ -149,6 +173,22 @@
         old_versions = self._versions()
         if updates.routes is not None:
             self._offer_routes(updates.routes, sender)
+        if updates.stamp.era >= self._era:
+            self._apply_store_updates(updates, sender, now, is_whole)
+        self._drop_tombstones()
+        self._notify_if_changed(old_versions)
+
+    def _apply_store_updates(
+        self,
+        updates: serving.ViewNews,
+        sender: str,
+        now: int,
+        is_whole: bool,
+    ) -> None:
+        """Applies what depends on a position of the store."""
+        position = _position_of(updates.stamp)
+        if position.era > self._era:
+            self._begin_era(position, sender, now)
         if updates.evacuated is not None:
             self._offer_evacuated(
                 updates.evacuated, updates.stamp.evacuation_revision, sender
@@ -164,7 +204,24 @@
             updates.listed_after,
             updates.known_since,
         )
-        self._drop_tombstones()
+
+    def end_carry_over(self, read_at: int, now: int) -> None:
+        """Ends what a new era of the store has not confirmed in time.
+
+        Args:
+          read_at: Clock time in ms of the newest read of the store that the
+            view includes.
+          now: Clock reading.
+        """
+        old_versions = self._versions()
+        self.registry.end_carry_over(read_at, now)
+        began_at = self._era_began_at
+        if began_at is not None and (
+            read_at - began_at >= discovery.RETURNED_HOLD_MS
+        ):
+            self._era_began_at = None
+            if self.evacuated_zones.end_carry_over():
+                self._on_evacuated_changed("the end of the carry-over")
         self._notify_if_changed(old_versions)
 
     def updates_after(
@@ -177,11 +234,21 @@
           now: Clock reading.
         """
         stamp = self.stamp
+        if known.era < stamp.era:
+            # Revisions of its era say nothing of what it knows of this one.
+            known = serving.ViewStamp(known.route_version, -1, -1, stamp.era)
+        elif known.era > stamp.era:
+            known = serving.ViewStamp(
+                known.route_version,
+                stamp.upstream_revision,
+                stamp.evacuation_revision,
+                stamp.era,
+            )
         table = self.routes.table
         has_older_routes = known.route_version < stamp.route_version
         evacuated = None
         if known.evacuation_revision < stamp.evacuation_revision:
-            evacuated = sorted(self.evacuated_zones.zones)
+            evacuated = sorted(self.evacuated_zones.listed)
         listed_after = self.registry.listed_after(known.upstream_revision)
         changed_after = (
             known.upstream_revision if listed_after is None else listed_after
@@ -227,14 +294,35 @@
                 f" routes from {source}",
             )
 
+    def _begin_era(
+        self, position: discovery.Position, source: str, now: int
+    ) -> None:
+        """Begins an era of the store; what is known is carried over."""
+        old_position = self.position
+        self._era = position.era
+        self._era_began_at = now
+        self.registry.begin_era(now)
+        self.evacuated_zones.begin_era()
+        self._on_event(
+            "store_era_began",
+            f"{position} from {source}, after {old_position}; carried over:"
+            f" {self.registry.carried_over_count} searchers,"
+            f" {len(self.evacuated_zones.zones)} evacuated zones; without"
+            f" requests: {self.registry.held_count} that were leaving or gone",
+        )
+
     def _offer_evacuated(self, zones, revision: int, source: str) -> None:
         if self.evacuated_zones.apply_zones(zones, revision):
-            names = ", ".join(sorted(self.evacuated_zones.zones)) or "none"
-            self._on_event(
-                "zones_evacuated",
-                f"{names} revision {revision} from {source}",
-            )
-            self.registry.set_evacuated(self.evacuated_zones.zones)
+            self._on_evacuated_changed(source)
+
+    def _on_evacuated_changed(self, source: str) -> None:
+        zones = self.evacuated_zones
+        names = ", ".join(sorted(zones.zones)) or "none"
+        self._on_event(
+            "zones_evacuated",
+            f"{names} revision {zones.revision} from {source}",
+        )
+        self.registry.set_evacuated(zones.zones)
 
     def _versions(self) -> tuple[int, int]:
         return (self.routes.version, self.registry.version)
@@ -243,3 +331,17 @@
         if self._versions() != old_versions:
             for listener in self._subscribers:
                 listener()
+
+
+def _position_of(stamp: serving.ViewStamp) -> discovery.Position:
+    return discovery.Position(stamp.era, stamp.upstream_revision)
+
+
+def is_newer(one: serving.ViewStamp, other: serving.ViewStamp) -> bool:
+    """Returns whether one view has something that the other one lacks."""
+    return (
+        one.route_version > other.route_version
+        or _position_of(one) > _position_of(other)
+        or discovery.Position(one.era, one.evacuation_revision)
+        > discovery.Position(other.era, other.evacuation_revision)
+    )
--- a/citrondoor/errors.py
+++ b/citrondoor/errors.py
@@ -46,6 +46,21 @@
     """Routes and searchers would take more memory than they may."""
 
 
+class OldEraError(PlatformError):
+    """The store answered from an era before the one that is known.
+
+    Args:
+      found: Era of the answer.
+      known: Era that this daemon knows of.
+    """
+
+    def __init__(self, found: int, known: int):
+        super().__init__(
+            f"an answer of era {found}, while era {known} of the store is"
+            " known; the view stays as it is: check that all VMs use one store"
+        )
+
+
 class InvariantError(CitrondoorError):
     """It would be unsafe to continue.
 
--- a/schema/serving.thrift
+++ b/schema/serving.thrift
@@ -88,17 +88,25 @@
   3: optional Upstream upstream
   // Revision at which its entry was created; unset if that is unknown.
   4: optional i64 created_revision
+  // Time for which this incarnation gets no requests although its entry is
+  // ready, ms: it was leaving or gone before the store came back from a copy.
+  5: optional i64 held_ms
 }
 
+// Revisions are of the store's era `era`; those of a higher era are newer.
 struct ViewStamp {
   1: required i64 route_version
   // All changes of searchers up to this revision of the store are known.
   2: required i64 upstream_revision
   3: required i64 evacuation_revision
+  // Number of times that the store came back from a copy.
+  4: i64 era = 0
 }
 
 struct ViewRequest { 1: required ViewStamp known }
 
+// All revisions are of the era of `stamp`. If it is not the requester's era,
+// `upstreams` and `evacuated` are complete, or empty if the sender is behind.
 struct ViewNews {
   1: required ViewStamp stamp
   2: optional RouteSet routes
--- a/tests/entry/test_peer_network.py
+++ b/tests/entry/test_peer_network.py
@@ -174,6 +174,35 @@
     run_cluster(body)
 
 
+def test_a_new_era_spreads_from_the_reader_to_all_daemons():
+    # Guards against daemons that take the view of a peer for older than their
+    # own because its revisions are lower.
+    async def body(nodes, ports, seeds):
+        def apply(position, *upstreams):
+            contents = entry.StoreContents(
+                position, samples.route_set(3), list(upstreams), []
+            )
+            now = nodes[1].clock.now()
+            nodes[1].peers.record_store_read(now)
+            nodes[1].view.apply_store_contents(contents, now)
+
+        async def wait_for(position):
+            await wait_until(
+                lambda: all(n.view.position == position for n in nodes), 2.0
+            )
+
+        old_position = samples.position(90, era=1)
+        apply(old_position, samples.upstream())
+        await wait_for(old_position)
+        position = samples.position(60, era=2)
+        apply(position, samples.upstream(state=samples.DRAINING))
+        await wait_for(position)
+        for node in nodes:
+            assert node.view.registry.all_usable_upstreams() == []
+
+    run_cluster(body)
+
+
 def test_a_leaving_daemon_is_left_out_of_endpoints_without_delay():
     async def body(nodes, ports, seeds):
         nodes[2].peers.announce_leaving()
--- a/tests/entry/test_store_poller.py
+++ b/tests/entry/test_store_poller.py
@@ -37,9 +37,12 @@
         return contents
 
 
-def make_contents(revision, *upstreams):
+def make_contents(revision, *upstreams, era=0):
     return entry.StoreContents(
-        samples.position(revision), samples.route_set(1), list(upstreams), []
+        samples.position(revision, era),
+        samples.route_set(1),
+        list(upstreams),
+        [],
     )
 
 
@@ -144,3 +147,48 @@
     log = read_all([make_contents(3, *few[:10])], view)
     assert len(view.registry.all_usable_upstreams()) == 10
     assert not log.lines
+
+
+def test_a_read_of_an_older_era_counts_as_failed():
+    # Guards against a store that is ignored while its reads look sound.
+    view = entry.LocalView(lambda kind, detail: None, {})
+    log = read_all(
+        [make_contents(5, UPSTREAM, era=2), make_contents(90, era=1)], view
+    )
+    ((event, fields),) = log.lines
+    assert event == "store_lost"
+    assert "of era 1, while era 2" in fields["reason"]
+    assert (fields["store_era"], fields["upstream_revision"]) == (2, 5)
+    assert len(view.registry.all_usable_upstreams()) == 1
+
+
+def test_searchers_that_a_new_era_lacks_are_removed_once_they_had_time():
+    # Guards against searchers that are carried over for ever.
+    clock = clocks.ManualClock(now=1000)
+    view = entry.LocalView(lambda kind, detail: None, {})
+    view.apply_store_contents(make_contents(9, UPSTREAM, era=1), clock.now())
+    view.apply_store_contents(make_contents(5, era=2), clock.now())
+
+    class ReadStore:
+        async def read(self):
+            return make_contents(5, era=2)
+
+    poller = entry.StorePoller(
+        view,
+        ReadStore(),
+        FakePeerNetwork(),
+        test_dispatcher.SETTINGS,
+        clock,
+        test_dispatcher.FakeLog(),
+    )
+
+    async def body():
+        task = asyncio.create_task(poller.run())
+        await asyncio.sleep(0.01)
+        count_before = len(view.registry.all_usable_upstreams())
+        clock.advance(10_000)
+        await asyncio.sleep(0.3)
+        task.cancel()
+        return count_before, len(view.registry.all_usable_upstreams())
+
+    assert asyncio.run(body()) == (1, 0)
