Keep a flood of signals from stopping a daemon

Its main thread waited for a lock inside a signal handler that had interrupted the holder of it.

Cause: asyncio's pipe for signals was full, and the interpreter schedules a warning of that inside the handler, under a lock.

Change: the daemons turn the warning off before they unblock the signals.

Evidence: test_signals_that_no_pipe_holds_leave_no_warning shows the warning without the call and none with it.

--- a/citrondoor/daemon/_assembly.py
+++ b/citrondoor/daemon/_assembly.py
@@ -498,6 +498,7 @@
             ending = endings.of_signal(signal_number.name)
             loop.add_signal_handler(signal_number, self._on_signal, ending)
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        signals.allow_floods()
         signals.unblock()
 
     def _on_hangup(self) -> None:
--- a/citrondoor/daemon/entry_daemon.py
+++ b/citrondoor/daemon/entry_daemon.py
@@ -597,6 +597,7 @@
             ending = endings.of_signal(signal_number.name)
             loop.add_signal_handler(signal_number, self._end, ending)
         loop.add_signal_handler(signal.SIGHUP, self._on_hangup)
+        signals.allow_floods()
         signals.unblock()
 
     def _on_hangup(self) -> None:
--- a/citrondoor/signals.py
+++ b/citrondoor/signals.py
@@ -16,6 +16,17 @@
     _signal.pthread_sigmask(_signal.SIG_BLOCK, HANDLED)
 
 
+def allow_floods() -> None:
+    """Lets the event loop's pipe for signals run full without a warning.
+
+    Called once the loop's handlers stand. For a signal that finds the pipe full
+    the interpreter would schedule a warning, inside the handler and with a lock
+    that the interrupted code may hold: the process then waits for itself.
+    """
+    pipe = _signal.set_wakeup_fd(-1)
+    _signal.set_wakeup_fd(pipe, warn_on_full_buffer=False)
+
+
 def unblock() -> None:
     """Lets this thread receive the handled signals."""
     _signal.pthread_sigmask(_signal.SIG_UNBLOCK, HANDLED)
--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -97,7 +97,9 @@
     command = [sys.executable, "-m", "citrondoor.platform"]
     with daemon.log_path.open("ab") as log:
         process = subprocess.Popen(
-            [*command, "--settings", daemon.settings_path], stdout=log
+            [*command, "--settings", daemon.settings_path],
+            stdout=log,
+            stderr=log,
         )
     while not is_safe(process.pid):
         assert process.poll() is None
@@ -109,10 +111,38 @@
             process.send_signal(number)
         time.sleep(0.0005)
     assert process.returncode == 0
+    # A warning of a pipe that is full is no JSON.
     assert daemon.log_records()[-1]["event"] == "stopped"
     assert time.monotonic() - started_at > GRACE_S * 0.6
 
 
+def test_signals_that_no_pipe_holds_leave_no_warning(tmp_path):
+    # Guards against a process that waits for itself: the warning takes a lock
+    # inside the signal handler.
+    program = (
+        "import asyncio, os, signal, sys\n"
+        "from citrondoor import signals\n"
+        "async def body():\n"
+        "    loop = asyncio.get_running_loop()\n"
+        "    loop.add_signal_handler(signal.SIGHUP, lambda: None)\n"
+        "    if sys.argv[1:]: signals.allow_floods()\n"
+        "    for _ in range(5000): os.kill(os.getpid(), signal.SIGHUP)\n"
+        "asyncio.run(body())\n"
+    )
+    outputs = [
+        subprocess.run(
+            [sys.executable, "-c", program, *arguments],
+            capture_output=True,
+            text=True,
+            check=True,
+            timeout=TIMEOUT_S,
+        ).stderr
+        for arguments in ([], ["allow"])
+    ]
+    assert "signal wakeup fd" in outputs[0]
+    assert outputs[1] == ""
+
+
 def test_only_the_main_thread_takes_signals(tmp_path):
     async def body():
         async with deployments.Deployment(tmp_path, daemons=1) as deployment:
