Count the new field of a searcher's news in the memory of messages

Each record has one field more than before, which is 8 bytes, and the estimate of a struct was 56.

Change: 64 bytes a struct. Test: test_the_estimate_of_a_decoded_message_is_near_ what_it_takes.

--- a/citrondoor/codecs/peers.py
+++ b/citrondoor/codecs/peers.py
@@ -32,7 +32,7 @@
 # zero byte, with which each struct ends. It is over what the view of a large
 # cluster takes, and at least 0.3 of what any message does.
 DECODED_BYTES_PER_BYTE = 7
-_STRUCT_BYTES = 56
+_STRUCT_BYTES = 64
 _PLAIN = b"\0"
 _COMPRESSED = b"\1"
 _LENGTH = struct.Struct(">I")
