Ignore a peer without a view, and report refusals by their status

A peer that states a higher era and has no view yet would have left this daemon without one: it would have begun the era and known no revision of it. Sound daemons send no such message.

A refusal of the store without an era was reported as one of era 0 instead of by its status.

Tests that failed before: test_a_peer_without_a_view_leaves_this_one_in_place, test_a_refusal_without_an_era_is_reported_by_its_status.

--- a/citrondoor/discovery/_registry.py
+++ b/citrondoor/discovery/_registry.py
@@ -395,7 +395,10 @@
         revision = revisions.revision_of(upstream.id)
         record = self._records.get(upstream.id)
         known = -1 if record is None else record.changed_at_revision
-        if revision < known or self._is_superseded(record, upstream, now):
+        if revision < known:
+            return
+        if _is_superseded(record, upstream):
+            self._hold(upstream, RETURNED_HOLD_MS, now)
             return
         self._apply_entry(upstream, revision, now)
         created_revision = revisions.created_at(upstream.id)
@@ -404,21 +407,6 @@
             self._records[upstream.id].changed_at_revision = revision
         self._set_created(upstream.id, created_revision)
 
-    def _is_superseded(
-        self, record: _Record | None, upstream: serving.Upstream, now: int
-    ) -> bool:
-        """Returns whether a copy brought back an earlier incarnation."""
-        if (
-            record is None
-            or not record.is_carried_over
-            or upstream.born_ms >= record.born_ms
-        ):
-            return False
-        self._returned_entries.add(
-            upstream.id, upstream.born_ms, now + RETURNED_HOLD_MS
-        )
-        return True
-
     def _set_created(self, upstream_id: str, revision: int) -> None:
         record = self._records[upstream_id]
         if record.created_revision != revision:
@@ -459,7 +447,8 @@
             if update.revision <= known:
                 continue
             if update.upstream is not None:
-                if self._is_superseded(record, update.upstream, now):
+                if _is_superseded(record, update.upstream):
+                    self._hold(update.upstream, RETURNED_HOLD_MS, now)
                     continue
                 if update.held_ms is not None:
                     self._hold(update.upstream, update.held_ms, now)
@@ -682,6 +671,15 @@
         )
 
 
+def _is_superseded(record: _Record | None, upstream: serving.Upstream) -> bool:
+    """Returns whether a copy brought back an earlier incarnation."""
+    return (
+        record is not None
+        and record.is_carried_over
+        and upstream.born_ms < record.born_ms
+    )
+
+
 def _estimate(upstream: serving.Upstream | None) -> int:
     """Returns the memory of a searcher and its record, in bytes."""
     if upstream is None:
--- a/citrondoor/entry/_view.py
+++ b/citrondoor/entry/_view.py
@@ -173,7 +173,9 @@
         old_versions = self._versions()
         if updates.routes is not None:
             self._offer_routes(updates.routes, sender)
-        if updates.stamp.era >= self._era:
+        # A peer that has no view yet would leave this daemon without one.
+        has_view = updates.stamp.upstream_revision >= 0
+        if has_view and updates.stamp.era >= self._era:
             self._apply_store_updates(updates, sender, now, is_whole)
         self._drop_tombstones()
         self._notify_if_changed(old_versions)
--- a/citrondoor/platform/_store.py
+++ b/citrondoor/platform/_store.py
@@ -132,31 +132,31 @@
             f"/-/kv-range?{urllib.parse.urlencode(query)}"
         )
         era = self._read_era(response)
+        page = self._client.decode(response)
+        if era < self._newest_era:
+            raise self._client.make_error(
+                f"a response of era {era}, while the store is in era"
+                f" {self._newest_era}"
+            )
         if reading.era not in (None, era):
             raise self._client.make_error(
                 f"a listing of which one page is of era {reading.era} and the"
                 f" next one of era {era}"
             )
         reading.era = era
-        return self._client.decode(response)
+        return page
 
     def _read_era(self, response: http1.Response) -> int:
-        """Returns the era of the store that a response states.
+        """Returns the era that a response states, whatever its status.
 
         Raises:
-          errors.PlatformError: It is unreadable, or the response is older than
-            another one.
+          errors.PlatformError: It is unreadable.
         """
         try:
             era = _decode_era(response.headers)
         except ValueError as error:
             raise self._client.make_error(str(error)) from error
-        if era < self._newest_era:
-            raise self._client.make_error(
-                f"a response of era {era}, while the store is in era"
-                f" {self._newest_era}"
-            )
-        self._newest_era = era
+        self._newest_era = max(self._newest_era, era)
         return era
 
     def _add_page(self, page: dict, reading: "_Reading") -> None:
--- a/tests/entry/test_view_eras.py
+++ b/tests/entry/test_view_eras.py
@@ -381,3 +381,12 @@
     )
     assert view.registry.registered_ids() == {"i-2"}
     assert view.updates_after(serving.ViewStamp(0, -1, -1), now).stamp.era == 2
+
+
+def test_a_peer_without_a_view_leaves_this_one_in_place():
+    # Guards against a daemon that stops serving because of a peer's message.
+    view, _ = make_view(make_contents(OLD, 1, [samples.upstream("i-1")]))
+    stamp = serving.ViewStamp(1, -1, -1, 3)
+    view.apply_updates(serving.ViewNews(stamp, None, []), "peer", 0)
+    assert view.is_complete
+    assert view.position == OLD
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -236,6 +236,20 @@
     asyncio.run(body())
 
 
+def test_a_refusal_without_an_era_is_reported_by_its_status():
+    fake = FakeStore([])
+    fake.eras = [b"4", None]
+
+    async def body():
+        async with serve_store(fake) as client:
+            await client.read()
+            fake.status = 503
+            with pytest.raises(errors.PlatformError, match="status 503"):
+                await client.read()
+
+    asyncio.run(body())
+
+
 @pytest.mark.parametrize("era", [b"", b"-1", b"1.5", b"new", b"9" * 20])
 def test_an_unreadable_era_fails_the_read(era):
     fake = FakeStore([])
