Tell a pause of the process from an outage of the store

Cause: a frozen daemon knows of no reads meanwhile and took that for an outage. The others trusted the age of its reads.

Change: time in which the process did not run does not count.

--- a/citrondoor/entry/_peer_network.py
+++ b/citrondoor/entry/_peer_network.py
@@ -412,12 +412,14 @@
             self._store_read_by = reported_by or self._settings.vm
         if ended_at is None:
             ended_at = read_at
+        self._outage_detector.record_running(self._clock.now())
         if self._outage_detector.record_read(ended_at):
             self._log.write("store_outage_ended", read_at=ended_at)
             self._view.registry.on_store_recovered(self._clock.now())
 
     def tick(self, now: int) -> None:
         """Updates the members' states and opens or closes links accordingly."""
+        self._outage_detector.record_running(now)
         self._members.tick(now)
         if self._members.is_superseded:
             self._log.write("incarnation_raised", vm_name=self._settings.vm)
--- a/tests/discovery/test_outages.py
+++ b/tests/discovery/test_outages.py
@@ -25,3 +25,34 @@
 
 def test_the_first_read_since_the_start_ends_no_outage():
     assert not discovery.StoreOutageDetector().record_read(50_000)
+
+
+def test_a_pause_of_this_process_is_no_outage():
+    # Guards against removals that are held back because the daemon takes the
+    # time for which it was frozen for an outage of the store.
+    detector = discovery.StoreOutageDetector()
+    for now in range(0, 2000, 100):
+        detector.record_running(now)
+    detector.record_read(1900)
+    detector.record_running(9000)
+    assert not detector.record_read(8900)
+    assert not detector.record_read(9000)
+
+
+def test_an_outage_beside_a_pause_is_one():
+    detector = discovery.StoreOutageDetector()
+    detector.record_running(0)
+    detector.record_read(0)
+    for now in [*range(100, 4100, 100), *range(9000, 9300, 100)]:
+        detector.record_running(now)
+    assert detector.record_read(9200)
+
+
+def test_pauses_before_the_newest_read_do_not_count():
+    detector = discovery.StoreOutageDetector()
+    detector.record_running(0)
+    detector.record_running(8000)
+    detector.record_read(8000)
+    for now in range(8100, 12_000, 100):
+        detector.record_running(now)
+    assert detector.record_read(11_900)
